Add the workspace, the border models, the ports and the test runner

Cause: an empty tree. The change lays the four packages (core, node, ops, tools), pinned dependencies, the formatter and the wemake linter, the manifest and settings models, the ports, packet headers and a unittest runner for plain functions in virtual time.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Each target sets up what it needs: a venv of its own with pinned packages.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := packages/core packages/node packages/ops packages/tools
+MANIFESTS := $(addsuffix /pyproject.toml,$(PACKAGES))
+
+.PHONY: setup demo test bench capacity lint format
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt $(MANIFESTS)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps $(addprefix --editable ,$(PACKAGES))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m hibiscushatch_tools.demo
+
+test: $(STAMP)
+	$(BIN)/python -m hibiscushatch_tools.run_tests
+
+bench: $(STAMP)
+	$(BIN)/python -m hibiscushatch_tools.bench
+
+capacity: $(STAMP)
+	$(BIN)/python -m hibiscushatch_tools.capacity
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/flake8 packages
+
+format: $(STAMP)
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/__init__.py
@@ -0,0 +1,1 @@
+"""The core package of hibiscushatch."""
--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/counters.py
@@ -0,0 +1,48 @@
+"""Counters that the decisions count into, and their in-memory form.
+
+The entry VM exports them through aioprometheus; tests read them directly.
+"""
+
+import collections
+import dataclasses
+
+from hibiscushatch_core import reasons
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Totals since the process started.
+
+    Attributes:
+        drops: Packets dropped, by reason.
+        refusals: Flows refused or reset, by reason.
+        retries: Attempts made again, by reason.
+        packets_in: Datagrams received from the fabric and upstreams.
+        packets_relayed: Datagrams sent to another entry VM.
+        packets_to_upstreams: Datagrams sent to upstreams.
+        packets_to_callers: Datagrams sent to callers.
+        flows_placed: New flows placed on an upstream.
+        control_bytes_sent: Bytes of peer messages sent.
+        control_bytes_received: Bytes of peer messages received.
+        platform_calls: Calls made to the platform's service.
+        bucket_moves: Buckets whose move this VM began.
+    """
+
+    drops: collections.Counter[reasons.DropReason] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refusals: collections.Counter[reasons.RefusalReason] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    retries: collections.Counter[reasons.RetryReason] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    packets_in: int = 0
+    packets_relayed: int = 0
+    packets_to_upstreams: int = 0
+    packets_to_callers: int = 0
+    flows_placed: int = 0
+    control_bytes_sent: int = 0
+    control_bytes_received: int = 0
+    platform_calls: int = 0
+    bucket_moves: int = 0
--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -0,0 +1,52 @@
+"""Every reason for which a packet, flow or call is not served plainly.
+
+Each member is the value of the ``reason`` label of one counter, and
+docs/OPERATIONS.md explains each one to operators.
+"""
+
+import enum
+
+
+class DropReason(enum.StrEnum):
+    """Why a packet was dropped without an answer."""
+
+    TRUNCATED = 'truncated'
+    NOT_IPV4 = 'not_ipv4'
+    FRAGMENTED = 'fragmented'
+    OVERSIZED = 'oversized'
+    UNSUPPORTED_PROTOCOL = 'unsupported_protocol'
+    UNKNOWN_SERVICE = 'unknown_service'
+    LOOPED = 'looped'
+    UNKNOWN_PEER = 'unknown_peer'
+    WRONG_SENDER = 'wrong_sender'
+    LATE_REPLY = 'late_reply'
+    STALE_RESET = 'stale_reset'
+    ISOLATION = 'isolation'
+    NO_MANIFEST = 'no_manifest'
+    NO_OWNER = 'no_owner'
+    SEND_FAILED = 'send_failed'
+    PLACEMENT_PENDING = 'placement_pending'
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a caller was told that its flow is not run or has ended."""
+
+    NO_ROOM = 'no_room'
+    NO_UPSTREAM = 'no_upstream'
+    CONNECT_DEADLINE = 'connect_deadline'
+    RETRY_BUDGET = 'retry_budget'
+    UPSTREAM_REFUSED = 'upstream_refused'
+    DOMAIN_OUT = 'domain_out'
+    UPSTREAM_GONE = 'upstream_gone'
+    SILENT_FLOW = 'silent_flow'
+
+
+class RetryReason(enum.StrEnum):
+    """Why something was tried again."""
+
+    CONNECT_UNANSWERED = 'connect_unanswered'
+    CONNECT_REFUSED = 'connect_refused'
+    PEER_CONNECT = 'peer_connect'
+    PEER_SILENT = 'peer_silent'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    PLATFORM_WATCH = 'platform_watch'
--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/settings.py
@@ -0,0 +1,93 @@
+"""Settings of one entry VM, read from a JSON file and validated.
+
+A process learns its name, addresses and failure domain from here and nowhere
+else. Timings have defaults that fit the sizes of today.
+"""
+
+import ipaddress
+from typing import Annotated
+
+import pydantic
+
+from hibiscushatch_core.documents import StrictModel
+from hibiscushatch_core.manifest_document import Name, Port
+
+Interval = Annotated[float, pydantic.Field(gt=0, le=3600)]
+KEY_BYTES_MIN = 16
+
+
+class SocketAddress(StrictModel):
+    """An IPv4 address and a port."""
+
+    address: ipaddress.IPv4Address
+    port: Port
+
+    @property
+    def pair(self) -> tuple[str, int]:
+        """The form that the socket module takes."""
+        return (str(self.address), self.port)
+
+
+class PeerSettings(StrictModel):
+    """Another entry VM that is known before the platform is asked."""
+
+    name: Name
+    domain: Name
+    control: SocketAddress
+    relay: SocketAddress
+
+
+class PlatformSettings(StrictModel):
+    """Where the platform's key-value service answers.
+
+    ``key_prefix`` leads every key that hibiscushatch reads or writes.
+    """
+
+    endpoints: Annotated[list[str], pydantic.Field(min_length=1)]
+    key_prefix: str = '/hibiscushatch/'
+    call_timeout_s: Interval = 2.0
+    retry_min_s: Interval = 0.5
+    retry_max_s: Interval = 15.0
+    registration_ttl_s: Interval = 30.0
+
+
+class TimingSettings(StrictModel):
+    """Intervals of the control plane, in seconds."""
+
+    heartbeat_s: Interval = 0.5
+    peer_silent_s: Interval = 2.0
+    announce_deadline_s: Interval = 1.5
+    pause_detect_s: Interval = 1.0
+    move_interval_s: Interval = 0.25
+    entry_sync_s: Interval = 0.1
+    stop_grace_s: Interval = 5.0
+
+
+class NodeSettings(StrictModel):
+    """Everything one entry VM is told.
+
+    ``edge`` receives packets from the fabric and the upstreams, ``relay``
+    those of other entry VMs, ``control`` their HTTP calls, ``admin`` those of
+    operators. Keys are accepted in any position; the first one is sent.
+    """
+
+    name: Name
+    domain: Name
+    edge: SocketAddress
+    relay: SocketAddress
+    control: SocketAddress
+    admin: SocketAddress
+    fabric: SocketAddress
+    platform: PlatformSettings
+    peer_keys: Annotated[
+        list[Annotated[str, pydantic.Field(min_length=KEY_BYTES_MIN)]],
+        pydantic.Field(min_length=1, max_length=2),
+    ]
+    admin_keys: Annotated[
+        list[Annotated[str, pydantic.Field(min_length=KEY_BYTES_MIN)]],
+        pydantic.Field(min_length=1, max_length=2),
+    ]
+    seed_peers: list[PeerSettings] = []
+    timing: TimingSettings = TimingSettings()
+    log_level: str = 'INFO'
+    random_seed: int | None = None
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node package of hibiscushatch."""
--- /dev/null
+++ b/packages/ops/src/hibiscushatch_ops/__init__.py
@@ -0,0 +1,1 @@
+"""The ops package of hibiscushatch."""
--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/__init__.py
@@ -0,0 +1,1 @@
+"""The tools package of hibiscushatch."""
--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/testing.py
@@ -0,0 +1,74 @@
+"""Collecting tests that are plain functions, for unittest.
+
+A module-level ``test_*`` function is a test. A coroutine function runs in
+virtual time unless it is marked with ``real_time``. Shared fixtures are
+context managers in the ``fixtures`` module beside the tests.
+"""
+
+import asyncio
+import inspect
+import types
+import unittest
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from hibiscushatch_tools import virtual_time
+
+TestFunction = Callable[[], Any]
+_REAL_TIME_MARK = 'hibiscushatch_real_time'
+
+
+def real_time(function: TestFunction) -> TestFunction:
+    """Mark a coroutine test as one that needs real sockets and time."""
+    setattr(function, _REAL_TIME_MARK, True)
+    return function
+
+
+class FunctionTest(unittest.FunctionTestCase):
+    """A test function under the name of its module."""
+
+    def __init__(self, function: TestFunction) -> None:
+        super().__init__(_as_plain_function(function))
+        self._name = f'{function.__module__}.{function.__name__}'
+
+    def id(self) -> str:
+        """Return the module and function name."""
+        return self._name
+
+    def __str__(self) -> str:
+        return self._name
+
+
+class FunctionLoader(unittest.TestLoader):
+    """Loads the test functions of modules besides their test cases."""
+
+    def loadTestsFromModule(  # noqa: N802
+        self, module: types.ModuleType, *, pattern: str | None = None
+    ) -> unittest.TestSuite:
+        """Collect one module.
+
+        Args:
+            module: An imported test module.
+            pattern: Passed on to unittest.
+
+        Returns:
+            Its test cases and test functions.
+        """
+        suite = super().loadTestsFromModule(module, pattern=pattern)
+        suite.addTests(FunctionTest(one) for one in _test_functions(module))
+        return suite
+
+
+def _test_functions(module: types.ModuleType) -> Iterator[TestFunction]:
+    for name, function in vars(module).items():
+        is_function = inspect.isfunction(function)
+        if name.startswith('test_') and is_function:
+            yield function
+
+
+def _as_plain_function(function: TestFunction) -> TestFunction:
+    if not inspect.iscoroutinefunction(function):
+        return function
+    if getattr(function, _REAL_TIME_MARK, False):
+        return lambda: asyncio.run(function())
+    return lambda: virtual_time.run_in_virtual_time(function())
