--- a/packages/tools/src/hibiscushatch_tools/run_tests.py
+++ b/packages/tools/src/hibiscushatch_tools/run_tests.py
@@ -61,11 +61,11 @@
         for one in _flatten(collect_tests(root))
         if all(word in one.id() for word in sys.argv[1:])
     )
+    ids = frozenset(one.id() for one in _flatten(suite))
     outcome = unittest.TextTestRunner(stream=sys.stdout).run(suite)
     failed = {one.id() for one, _ in outcome.failures + outcome.errors}
     for name in sorted(failed & known_red):
         print(f'known red: {name}')
-    ids = {one.id() for one in _flatten(suite)}
     stale = (known_red & ids) - failed
     for name in sorted(stale):
         print(f'passes, take it out of {KNOWN_RED_FILE}: {name}')
