Route packets by buckets with owners, histories and two-step moves

Cause: the entry VM routed nothing. The change adds the bucket state and its join, membership by flooded records of who hears whom, ownership by rendezvous, the packet path, the owner's placement of new flows with retry, moves in two steps, peers on one connection a pair, the manifest keeper, the life cycle and reports.

Before: no flow served. A rolling replacement of all entry VMs still breaks flows; the cause is looked for next.

--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/messages.py
@@ -0,0 +1,153 @@
+"""The messages between entry VMs: validated JSON at the border.
+
+One message carries everything that has changed since the last one to the same
+peer; short field names keep the control traffic within its bytes.
+"""
+
+from typing import Annotated
+
+import pydantic
+
+from hibiscushatch_core.buckets import BucketState, Stamp
+from hibiscushatch_core.documents import StrictModel
+from hibiscushatch_core.settings import SocketAddress
+
+MESSAGE_BYTES_MAX = 4 * 1024 * 1024
+
+
+class MemberMessage(StrictModel):
+    """What an entry VM says of itself; others pass it on unchanged.
+
+    ``state`` is joining, serving or leaving; ``hears`` names the VMs whose
+    heartbeats it receives; a higher (incarnation, sequence) replaces a lower.
+    """
+
+    name: str
+    domain: str
+    incarnation: int
+    sequence: int
+    state: str
+    control: SocketAddress
+    relay: SocketAddress
+    generation: int
+    hears: tuple[str, ...]
+
+
+class StampMessage(StrictModel):
+    """A change of a bucket: version and writer."""
+
+    v: int
+    w: str
+
+
+class BucketMessage(StrictModel):
+    """One bucket's state.
+
+    Service name, bucket index, stamp, through_owner, bases, current, seen.
+    """
+
+    s: str
+    i: int
+    v: int
+    w: str
+    t: bool
+    b: tuple[str, ...]
+    c: str
+    n: tuple[StampMessage, ...] = ()
+
+
+class EntriesMessage(StrictModel):
+    """Flow entries of one bucket for its backup or next owner.
+
+    ``upstreams`` and ``keys`` run in parallel groups: the flow keys of a
+    group, six bytes each, are packed into one base64 text.
+    """
+
+    s: str
+    i: int
+    upstreams: tuple[str, ...]
+    keys: tuple[pydantic.Base64Bytes, ...]
+    removed: pydantic.Base64Bytes = b''
+
+
+class ClaimMessage(StrictModel):
+    """How many open flows an entry VM may own on an upstream."""
+
+    u: str
+    n: int
+    r: int = 0
+
+
+class DepartedMessage(StrictModel):
+    """An upstream that left the manifest while flows may still be on it."""
+
+    s: str
+    name: str
+    domain: str
+    address: str
+    port: int
+
+
+class ServiceDigest(StrictModel):
+    """Digest of the bucket states of one service."""
+
+    s: str
+    d: int
+
+
+class PeerMessage(StrictModel):
+    """One message on a peer connection; empty parts are left out.
+
+    ``q`` numbers the messages of the sender, ``a`` is the highest number it
+    has taken in from the receiver. ``d`` digests the sender's bucket table.
+    """
+
+    q: int = 0
+    a: int = 0
+    g: int = 0
+    d: int = 0
+    hello: str = ''
+    members: tuple[MemberMessage, ...] = ()
+    buckets: tuple[BucketMessage, ...] = ()
+    entries: tuple[EntriesMessage, ...] = ()
+    claims: tuple[ClaimMessage, ...] = ()
+    departed: tuple[DepartedMessage, ...] = ()
+    want_manifest: bool = False
+    want_table: bool = False
+    digests: tuple[ServiceDigest, ...] = ()
+    table_done: bool = False
+    manifest: Annotated[str, pydantic.Field(max_length=MESSAGE_BYTES_MAX)] = ''
+
+
+def encode_message(message: PeerMessage) -> str:
+    """Render a message as JSON without the parts that are empty."""
+    return message.model_dump_json(exclude_defaults=True)
+
+
+def bucket_to_message(
+    service: str, index: int, state: BucketState
+) -> BucketMessage:
+    """Convert a bucket's state to its border model."""
+    return BucketMessage(
+        s=service,
+        i=index,
+        v=state.stamp.version,
+        w=state.stamp.writer,
+        t=state.through_owner,
+        b=state.bases,
+        c=state.current,
+        n=tuple(
+            StampMessage(v=one.version, w=one.writer) for one in state.seen
+        ),
+    )
+
+
+def bucket_from_message(message: BucketMessage) -> BucketState:
+    """Convert a bucket's border model to its state."""
+    return BucketState(
+        Stamp(message.v, message.w),
+        message.t,
+        message.b,
+        message.c,
+        tuple(Stamp(one.v, one.w) for one in message.n),
+    )
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/bucket_table.py
@@ -0,0 +1,114 @@
+"""The bucket states of all services as this entry VM knows them."""
+
+from collections.abc import Iterator
+
+from hibiscushatch_core.buckets import BucketState, join_states
+from hibiscushatch_core.hashing import hash_text
+
+
+class BucketTable:
+    """Bucket states by service, with a digest of each service's states."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, list[BucketState]] = {}
+        self._digests: dict[str, int] = {}
+        self._referenced: dict[str, int] = {}
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services that have buckets."""
+        return tuple(self._states)
+
+    @property
+    def digest(self) -> int:
+        """Digest of all states; equal tables have equal digests."""
+        total = 0
+        for digest in self._digests.values():
+            total ^= digest
+        return total
+
+    def service_digest(self, service: str) -> int:
+        """Return the digest of one service's states."""
+        return self._digests.get(service, 0)
+
+    def has(self, service: str, index: int) -> bool:
+        """Tell whether a bucket exists."""
+        return index < len(self._states.get(service, ()))
+
+    def add_service(self, service: str, states: list[BucketState]) -> None:
+        """Create the buckets of a service.
+
+        Args:
+            service: Its name.
+            states: One state a bucket.
+        """
+        self._states[service] = list(states)
+        digest = 0
+        for index, state in enumerate(states):
+            digest ^= _digest_state(service, index, state)
+            self._count_references(state, 1)
+        self._digests[service] = digest
+
+    def remove_service(self, service: str) -> None:
+        """Drop the buckets of a service that left the manifest."""
+        for state in self._states.pop(service, ()):
+            self._count_references(state, -1)
+        self._digests.pop(service, None)
+
+    def state(self, service: str, index: int) -> BucketState:
+        """Return the state of a bucket."""
+        return self._states[service][index]
+
+    def states(self, service: str) -> list[BucketState]:
+        """Return the states of a service by bucket index; not a copy."""
+        return self._states.get(service, [])
+
+    def put(self, service: str, index: int, state: BucketState) -> None:
+        """Replace the state of a bucket."""
+        old = self._states[service][index]
+        self._states[service][index] = state
+        self._digests[service] ^= _digest_state(service, index, old)
+        self._digests[service] ^= _digest_state(service, index, state)
+        self._count_references(old, -1)
+        self._count_references(state, 1)
+
+    def join(self, service: str, index: int, state: BucketState) -> bool:
+        """Join a state from another VM into a bucket.
+
+        Args:
+            service: Name of the service.
+            index: Number of the bucket.
+            state: The other VM's view.
+
+        Returns:
+            True when the bucket's state changed.
+        """
+        old = self._states[service][index]
+        joined = join_states(old, state)
+        if joined == old:
+            return False
+        self.put(service, index, joined)
+        return True
+
+    def changed_states(self, service: str) -> Iterator[tuple[int, BucketState]]:
+        """Yield index and state of each bucket that was ever moved."""
+        for index, state in enumerate(self._states.get(service, ())):
+            if state.stamp.version:
+                yield index, state
+
+    def is_referenced(self, upstream: str) -> bool:
+        """Tell whether flows without an entry may be on an upstream."""
+        return self._referenced.get(upstream, 0) > 0
+
+    def _count_references(self, state: BucketState, step: int) -> None:
+        referenced = frozenset((*state.bases, state.current))
+        for upstream in referenced:
+            count = self._referenced.get(upstream, 0) + step
+            self._referenced[upstream] = count
+
+
+def _digest_state(service: str, index: int, state: BucketState) -> int:
+    if not state.stamp.version:
+        return 0
+    stamp = state.stamp
+    return hash_text(f'{service}/{index}/{stamp.version}/{stamp.writer}')
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -4,33 +4,37 @@
 that leaves goes through the ports it was given.
 """
 
-import dataclasses
-import random
-from collections.abc import Callable
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
 
 from hibiscushatch_core.counters import Counters
-from hibiscushatch_core.ports import PacketSender, PeerTransport, Platform
+from hibiscushatch_core.manifest import Manifest
 from hibiscushatch_core.report import BucketReport, NodeReport
 from hibiscushatch_core.settings import NodeSettings
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EntryVmPorts:
-    """Everything that an entry VM reaches the outside through.
-
-    Attributes:
-        sender: Sends inner packets.
-        platform: The platform's key-value service.
-        transport: Connections to other entry VMs.
-        clock: Monotonic time in seconds.
-        randomness: Source of jitter.
-    """
-
-    sender: PacketSender
-    platform: Platform
-    transport: PeerTransport
-    clock: Callable[[], float]
-    randomness: random.Random
+from hibiscushatch_core.vm_list import VmListEntry
+from hibiscushatch_node import reporting
+from hibiscushatch_node.admission import Admission
+from hibiscushatch_node.connector import Connector
+from hibiscushatch_node.flow_owner import FlowOwner
+from hibiscushatch_node.flow_sweeper import FlowSweeper
+from hibiscushatch_node.forwarder import Forwarder
+from hibiscushatch_node.generation import GenerationApplier
+from hibiscushatch_node.handover import Handover
+from hibiscushatch_node.lifecycle import Lifecycle
+from hibiscushatch_node.manifest_keeper import ManifestKeeper
+from hibiscushatch_node.membership import Member, MemberState
+from hibiscushatch_node.mover import BucketMover
+from hibiscushatch_node.node_state import EntryVmPorts, NodeState
+from hibiscushatch_node.packet_exit import PacketExit
+from hibiscushatch_node.peer_intake import PeerIntake
+from hibiscushatch_node.peer_outflow import PeerOutflow
+from hibiscushatch_node.peers import PeerNetwork
+
+__all__ = ('EntryVm', 'EntryVmPorts')
+
+_logger = logging.getLogger(__name__)
 
 
 class EntryVm:
@@ -38,14 +42,68 @@
 
     def __init__(self, settings: NodeSettings, ports: EntryVmPorts) -> None:
         self._settings = settings
-        self._ports = ports
-        self.counters = Counters()
+        self._state = NodeState(settings, ports)
+        self._admission = Admission()
+        self._keeper = ManifestKeeper(
+            self._state, self._apply_manifest, self._introduce
+        )
+        self._applier = GenerationApplier(self._state)
+        self._intake = PeerIntake(self._state, self._keeper, self._admission)
+        self._outflow = PeerOutflow(self._state)
+        self._peers = PeerNetwork(self._state, self._intake, self._outflow)
+        self._mover = BucketMover(self._state, self._peers)
+        self._exit = PacketExit(self._state)
+        self._connector = Connector(
+            self._state, self._exit, self._mover, self._admission
+        )
+        self._handover = Handover(self._state, self._peers, self._outflow)
+        self._lifecycle = Lifecycle(self._state, self._peers, self._intake)
+        self._forwarder = Forwarder(
+            self._state,
+            self._exit,
+            FlowOwner(self._state, self._exit, self._connector, self._mover),
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def counters(self) -> Counters:
+        """What this entry VM counted."""
+        return self._state.counters
+
+    @property
+    def state(self) -> NodeState:
+        """Its tables, for reports and tests."""
+        return self._state
 
     async def start(self) -> None:
         """Begin to watch the manifest and to talk to peers."""
+        for peer in self._settings.seed_peers:
+            self._introduce_address(
+                peer.name, peer.domain, peer.control.pair, peer.relay.pair
+            )
+        sweeper = FlowSweeper(self._state, self._admission)
+        self._spawn('manifest', self._keeper.run())
+        self._spawn('registration', self._keeper.register())
+        self._spawn('peers', self._peers.run())
+        self._spawn('mover', self._mover.run())
+        self._spawn('handover', self._handover.run())
+        self._spawn('sweeper', sweeper.run())
+        self._spawn('lifecycle', self._lifecycle.run())
 
     async def stop(self) -> None:
         """Hand over what is owned, then stop all tasks."""
+        await self._lifecycle.leave()
+        self._handover.hand_over_all()
+        async with asyncio.timeout(self._settings.timing.stop_grace_s):
+            await self._connector.stop()
+            await self._peers.wait_acknowledged(
+                self._settings.timing.announce_deadline_s
+            )
+            await asyncio.sleep(self._lifecycle.leave_s)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peers.stop()
 
     def handle_edge(self, packet: bytes, sender_address: str) -> None:
         """Route a packet from the fabric or an upstream.
@@ -54,6 +112,8 @@
             packet: The inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
+        self._state.ownership.refresh(self._state.now())
+        self._forwarder.handle_edge(packet, sender_address)
 
     def handle_relay(self, datagram: bytes, sender_address: str) -> None:
         """Route a datagram from another entry VM's relay socket.
@@ -62,11 +122,56 @@
             datagram: A relay header and an inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
+        self._state.ownership.refresh(self._state.now())
+        self._forwarder.handle_relay(datagram, sender_address)
 
     def report(self) -> NodeReport:
         """Describe the state of this entry VM."""
-        raise NotImplementedError
+        return reporting.build_report(self._state, self._admission)
 
     def bucket_reports(self, service_name: str) -> tuple[BucketReport, ...]:
         """Describe the buckets of a service; empty when it is unknown."""
-        raise NotImplementedError
+        return reporting.build_bucket_reports(self._state, service_name)
+
+    def _spawn(self, step: str, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work, name=f'{self._state.name} {step}')
+        task.add_done_callback(_log_failure)
+        self._tasks.append(task)
+
+    def _apply_manifest(self, manifest: Manifest) -> None:
+        self._applier.apply(manifest)
+        if self._state.membership.update_own(generation=manifest.generation):
+            self._peers.spread_member(self._state.name)
+
+    def _introduce(self, entry: VmListEntry) -> None:
+        self._introduce_address(
+            entry.name, entry.domain, entry.control.pair, entry.relay.pair
+        )
+
+    def _introduce_address(
+        self,
+        name: str,
+        domain: str,
+        control: tuple[str, int],
+        relay: tuple[str, int],
+    ) -> None:
+        """Make a VM known until its own record comes."""
+        placeholder = Member(
+            name=name,
+            domain=domain,
+            incarnation=0,
+            sequence=0,
+            state=MemberState.JOINING,
+            control=control,
+            relay=relay,
+            generation=0,
+            hears=frozenset(),
+        )
+        self._state.membership.receive(placeholder)
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _logger.error(
+            'task failed: %s', task.get_name(), exc_info=task.exception()
+        )
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/lifecycle.py
@@ -0,0 +1,79 @@
+"""Joining, noticing a pause, and leaving.
+
+A VM owns nothing until it holds the bucket states of its peers. One whose
+clock jumped was paused: it gives up what it owned until it has them again.
+"""
+
+import asyncio
+import logging
+
+from hibiscushatch_node.membership import MemberState
+from hibiscushatch_node.node_state import NodeState
+from hibiscushatch_node.peer_intake import PeerIntake
+from hibiscushatch_node.peers import PeerNetwork
+
+PULSE_S = 0.1
+LEAVE_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Lifecycle:
+    """Changes the state of this VM's record."""
+
+    def __init__(
+        self, state: NodeState, peers: PeerNetwork, intake: PeerIntake
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._intake = intake
+        self._joining_since_s = state.now()
+
+    @property
+    def leave_s(self) -> float:
+        """How long a leaving VM goes on forwarding, in seconds."""
+        return LEAVE_S
+
+    async def run(self) -> None:
+        """Join, then watch for pauses until cancelled."""
+        last_s = self._state.now()
+        while True:
+            await asyncio.sleep(PULSE_S)
+            now_s = self._state.now()
+            paused_s = now_s - last_s - PULSE_S
+            last_s = now_s
+            if paused_s > self._state.settings.timing.pause_detect_s:
+                self._rejoin()
+            if self._state.membership.own.state is MemberState.JOINING:
+                self._try_to_serve()
+
+    async def leave(self) -> None:
+        """Tell all peers that this VM owns nothing any more."""
+        self._become(MemberState.LEAVING)
+
+    def _rejoin(self) -> None:
+        self._intake.forget_table()
+        self._joining_since_s = self._state.now()
+        self._become(MemberState.JOINING)
+
+    def _try_to_serve(self) -> None:
+        if self._state.manifest is None:
+            return
+        if self._intake.table_complete or self._is_alone():
+            self._become(MemberState.SERVING)
+            return
+        for session in self._peers.sessions:
+            session.outbox.want_table = True
+            session.wake()
+
+    def _is_alone(self) -> bool:
+        """Tell whether no peer that serves has been found in time."""
+        waited_s = self._state.now() - self._joining_since_s
+        if waited_s < self._state.settings.timing.peer_silent_s:
+            return False
+        return not any(True for _ in self._state.membership.serving())
+
+    def _become(self, state: MemberState) -> None:
+        if self._state.membership.update_own(state=state):
+            _logger.info('entry VM state=%s', state.value)
+            self._peers.spread_member(self._state.name)
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/manifest_keeper.py
@@ -0,0 +1,122 @@
+"""Keeps the newest manifest in force, from the platform or from peers.
+
+A generation is applied only if it is higher than the one in force, whoever
+offers it, so the configuration never reverts.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from hibiscushatch_core.documents import parse_document
+from hibiscushatch_core.errors import InvalidDocumentError, PlatformError
+from hibiscushatch_core.manifest import Manifest, build_manifest
+from hibiscushatch_core.manifest_blob import (
+    MANIFEST_KEY,
+    VM_LIST_KEY,
+    decode_manifest,
+)
+from hibiscushatch_core.ports import WatchEvent
+from hibiscushatch_core.reasons import RetryReason
+from hibiscushatch_core.vm_list import VmListEntry, entry_of_settings
+from hibiscushatch_node.node_state import NodeState
+
+_logger = logging.getLogger(__name__)
+
+
+class ManifestKeeper:
+    """Watches the platform and applies what is newer."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        on_applied: Callable[[Manifest], None],
+        on_listed: Callable[[VmListEntry], None],
+    ) -> None:
+        self._state = state
+        self._settings = state.settings.platform
+        self._platform = state.ports.platform
+        self._on_applied = on_applied
+        self._on_listed = on_listed
+
+    def offer(self, blob: bytes, source: str) -> bool:
+        """Apply a manifest if it is newer than the one in force.
+
+        Args:
+            blob: Its stored form.
+            source: The peer or key that it came from.
+
+        Returns:
+            True when it was applied.
+        """
+        try:
+            committed = decode_manifest(blob, source)
+        except InvalidDocumentError as error:
+            _logger.warning('manifest refused: %s', error)
+            return False
+        if committed.document.generation <= self._state.generation:
+            return False
+        manifest = build_manifest(committed.document)
+        self._state.committed = committed
+        self._on_applied(manifest)
+        return True
+
+    async def run(self) -> None:
+        """Watch the manifest and the list of VMs until cancelled."""
+        pause_s = self._settings.retry_min_s
+        while True:
+            try:
+                async for event in self._platform.watch_prefix(
+                    self._settings.key_prefix
+                ):
+                    pause_s = self._settings.retry_min_s
+                    self._take(event)
+                reason = RetryReason.PLATFORM_WATCH
+            except PlatformError:
+                reason = RetryReason.PLATFORM_UNAVAILABLE
+            self._state.counters.retries[reason] += 1
+            jitter = self._state.ports.randomness.uniform(0.5, 1.5)
+            await asyncio.sleep(pause_s * jitter)
+            pause_s = min(pause_s * 2, self._settings.retry_max_s)
+
+    async def register(self) -> None:
+        """Keep this VM on the platform's list, under a lease."""
+        ttl_s = self._settings.registration_ttl_s
+        while True:
+            try:
+                await self._hold_registration(ttl_s)
+            except PlatformError:
+                self._state.counters.retries[
+                    RetryReason.PLATFORM_UNAVAILABLE
+                ] += 1
+            jitter = self._state.ports.randomness.uniform(0.5, 1.5)
+            await asyncio.sleep(self._settings.retry_max_s * jitter)
+
+    async def _hold_registration(self, ttl_s: float) -> None:
+        lease = await self._platform.grant_lease(ttl_s)
+        entry = entry_of_settings(self._state.settings)
+        key = f'{self._settings.key_prefix}{VM_LIST_KEY}{entry.name}'
+        await self._platform.put_with_lease(
+            key, entry.model_dump_json().encode(), lease
+        )
+        alive = True
+        while alive:
+            await asyncio.sleep(ttl_s / 3)
+            alive = await self._platform.keep_lease_alive(lease)
+
+    def _take(self, event: WatchEvent) -> None:
+        name = event.key.removeprefix(self._settings.key_prefix)
+        if event.value is None:
+            return
+        if name == MANIFEST_KEY:
+            self.offer(event.value, event.key)
+        elif name.startswith(VM_LIST_KEY):
+            self._take_listed(event.key, event.value)
+
+    def _take_listed(self, key: str, text: bytes) -> None:
+        try:
+            entry = parse_document(VmListEntry, text, key)
+        except InvalidDocumentError as error:
+            _logger.warning('VM list entry refused: %s', error)
+            return
+        self._on_listed(entry)
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -0,0 +1,225 @@
+"""Moving buckets between upstreams, and bringing them to rest again.
+
+A move has two steps. First the bucket is announced as in motion, so that
+every VM sends its packets through the owner. Only when all live VMs have
+acknowledged, or a deadline has passed, do new flows go to the new upstream.
+The bucket rests when no flow of the old upstreams can be alive.
+"""
+
+import abc
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+from hibiscushatch_core.buckets import BucketState, change_state
+from hibiscushatch_core.hashing import rank_by_rendezvous
+from hibiscushatch_core.manifest import Service
+from hibiscushatch_node.flow_table import FlowEntry, FlowState
+from hibiscushatch_node.node_state import NodeState
+
+
+class BucketPublisher(abc.ABC):
+    """Tells other entry VMs of buckets and entries."""
+
+    @abc.abstractmethod
+    def publish_bucket(self, service: str, index: int) -> None:
+        """Send a bucket's state to every live VM."""
+
+    @abc.abstractmethod
+    async def wait_acknowledged(self, deadline_s: float) -> None:
+        """Wait until all live VMs have what was published before.
+
+        Args:
+            deadline_s: Seconds after which to go on without the rest.
+        """
+
+    @abc.abstractmethod
+    def copy_entry(self, service: str, index: int, key: int) -> None:
+        """Send an entry to the backup of its bucket, soon."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Motion:
+    """What the owner knows of a bucket in motion.
+
+    Attributes:
+        since_s: When the owner began to see all its packets.
+    """
+
+    since_s: float
+
+
+class BucketMover:
+    """Moves the buckets that this VM owns."""
+
+    def __init__(self, state: NodeState, publisher: BucketPublisher) -> None:
+        self._state = state
+        self._publisher = publisher
+        self._opening: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._motions: dict[tuple[str, int], _Motion] = {}
+        self._answered_at_s: dict[str, float] = {}
+
+    def is_eligible(self, upstream: str) -> bool:
+        """Tell whether an upstream may get new flows."""
+        manifest = self._state.manifest
+        if manifest is None or not manifest.accepts_new_flows(upstream):
+            return False
+        return not self._state.directory.is_quarantined(
+            upstream, self._state.now()
+        )
+
+    def alternatives(self, service_name: str, index: int) -> Iterator[str]:
+        """Yield the upstreams of a service in a bucket's order of choice."""
+        service = self._state.manifest.services_by_name[service_name]
+        names = (one.name for one in service.upstreams)
+        yield from rank_by_rendezvous(names, f'{service_name}#{index}')
+
+    def note_answer(self, upstream: str, now_s: float) -> None:
+        """Remember that an upstream sent something."""
+        self._answered_at_s[upstream] = now_s
+
+    def answered_at_s(self, upstream: str) -> float:
+        """Return when an upstream last sent something; 0 for never."""
+        return self._answered_at_s.get(upstream, 0)
+
+    def note_entry(self, service: str, index: int, key: int) -> None:
+        """Copy a flow's entry to the backup while its bucket needs it."""
+        if self._state.table.state(service, index).through_owner:
+            self._publisher.copy_entry(service, index, key)
+
+    def inspect(self, service: str, index: int) -> None:
+        """Begin to see all packets of a bucket."""
+        self._open(service, index)
+
+    async def open_bucket(self, service: str, index: int) -> None:
+        """Put a bucket in motion and wait until all VMs know.
+
+        Args:
+            service: Name of the service.
+            index: Number of the bucket.
+        """
+        task = self._open(service, index)
+        if task is not None:
+            await asyncio.shield(task)
+
+    async def move(self, service: str, index: int, target: str) -> None:
+        """Move a bucket's new flows to another upstream.
+
+        Args:
+            service: Name of the service.
+            index: Number of the bucket.
+            target: Name of the upstream.
+        """
+        await self.open_bucket(service, index)
+        bucket = self._state.table.state(service, index)
+        if bucket.current == target or not self.is_eligible(target):
+            return
+        if not self._state.owns(service, index):
+            return
+        self._state.counters.bucket_moves += 1
+        self._change(
+            service, index, dataclasses.replace(bucket, current=target)
+        )
+
+    async def run(self) -> None:
+        """Move and rest buckets until cancelled."""
+        while True:
+            await asyncio.sleep(self._state.settings.timing.move_interval_s)
+            if self._state.manifest is None:
+                continue
+            for service in self._state.manifest.services:
+                self._rest_buckets(service)
+                await self._move_buckets(service)
+
+    def _open(self, service: str, index: int) -> asyncio.Task[None] | None:
+        key = (service, index)
+        under_way = self._opening.get(key)
+        if under_way is not None:
+            return under_way
+        bucket = self._state.table.state(service, index)
+        if bucket.through_owner:
+            self._motions.setdefault(key, _Motion(self._state.now()))
+            return None
+        task = asyncio.create_task(self._announce(service, index, bucket))
+        self._opening[key] = task
+        task.add_done_callback(lambda _: self._opening.pop(key, None))
+        return task
+
+    async def _announce(
+        self, service: str, index: int, bucket: BucketState
+    ) -> None:
+        self._change(
+            service, index, dataclasses.replace(bucket, through_owner=True)
+        )
+        timing = self._state.settings.timing
+        await self._publisher.wait_acknowledged(timing.announce_deadline_s)
+        self._motions[(service, index)] = _Motion(self._state.now())
+
+    def _change(self, service: str, index: int, wanted: BucketState) -> None:
+        before = self._state.table.state(service, index)
+        changed = change_state(
+            before,
+            self._state.name,
+            through_owner=wanted.through_owner,
+            bases=wanted.bases,
+            current=wanted.current,
+        )
+        self._state.table.put(service, index, changed)
+        self._publisher.publish_bucket(service, index)
+
+    async def _move_buckets(self, service: Service) -> None:
+        eligible = [
+            one.name for one in service.upstreams if self.is_eligible(one.name)
+        ]
+        if not eligible:
+            return
+        loads = collections.Counter(
+            bucket.current for bucket in self._state.table.states(service.name)
+        )
+        loads.update(dict.fromkeys(eligible, 0))
+        moves = []
+        for index, bucket in enumerate(self._state.table.states(service.name)):
+            if bucket.current in eligible:
+                continue
+            target = min((loads[name], name) for name in eligible)[1]
+            loads[target] += 1
+            if self._state.owns(service.name, index):
+                moves.append(self.move(service.name, index, target))
+        await asyncio.gather(*moves)
+
+    def _rest_buckets(self, service: Service) -> None:
+        for index, bucket in enumerate(self._state.table.states(service.name)):
+            if bucket.at_rest or not self._state.owns(service.name, index):
+                continue
+            motion = self._motions.setdefault(
+                (service.name, index), _Motion(self._state.now())
+            )
+            if self._can_rest(service, index, bucket, motion):
+                self._motions.pop((service.name, index))
+                self._change(
+                    service.name,
+                    index,
+                    dataclasses.replace(
+                        bucket, through_owner=False, bases=(bucket.current,)
+                    ),
+                )
+
+    def _can_rest(
+        self, service: Service, index: int, bucket: BucketState, motion: _Motion
+    ) -> bool:
+        if not self.is_eligible(bucket.current):
+            return False
+        watched_s = self._state.now() - motion.since_s
+        settled = bucket.bases == (bucket.current,)
+        if not settled and watched_s < service.idle_timeout_s:
+            return False
+        entries = self._state.flows.bucket(service.name, index).values()
+        return not any(_holds_motion(entry, bucket) for entry in entries)
+
+
+def _holds_motion(entry: FlowEntry, bucket: BucketState) -> bool:
+    if entry.upstream == bucket.current:
+        waits = entry.waiting_since_s > 0
+        return waits or entry.state is FlowState.CONNECTING
+    return entry.state is not FlowState.CLOSING
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/ownership.py
@@ -0,0 +1,129 @@
+"""Which entry VM owns a bucket, who backs it up, and who owned it before.
+
+Rendezvous hashing over the serving members of the failure domain of the
+bucket's upstream, so that owner and upstream are cut off together; over all
+serving members when that domain has none.
+"""
+
+import dataclasses
+
+from hibiscushatch_core.hashing import rank_by_rendezvous
+from hibiscushatch_core.manifest import Manifest
+from hibiscushatch_node.bucket_table import BucketTable
+from hibiscushatch_node.membership import Membership
+from hibiscushatch_node.upstream_directory import UpstreamDirectory
+
+HANDOVER_GRACE_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owners:
+    """The two entry VMs in charge of a bucket; empty names for none."""
+
+    owner: str
+    backup: str
+
+
+NOBODY = Owners('', '')
+
+
+class _View:
+    """The serving members at one time, with rankings kept."""
+
+    def __init__(self, members: dict[str, str]) -> None:
+        self.members = members
+        self._ranked: dict[tuple[str, int, str], Owners] = {}
+
+    def rank(self, service: str, index: int, domain: str) -> Owners:
+        known = self._ranked.get((service, index, domain))
+        if known is None:
+            known = self._compute(service, index, domain)
+            self._ranked[(service, index, domain)] = known
+        return known
+
+    def _compute(self, service: str, index: int, domain: str) -> Owners:
+        names = [one for one, home in self.members.items() if home == domain]
+        ranked = rank_by_rendezvous(names or self.members, f'{service}/{index}')
+        if not ranked:
+            return NOBODY
+        return Owners(ranked[0], ranked[1] if len(ranked) > 1 else '')
+
+
+class Ownership:
+    """Owners of buckets over the membership of now and of shortly before."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        table: BucketTable,
+        directory: UpstreamDirectory,
+    ) -> None:
+        self._membership = membership
+        self._table = table
+        self._directory = directory
+        self._manifest: Manifest | None = None
+        self._view = _View({})
+        self._previous = _View({})
+        self._changed_at_s = -HANDOVER_GRACE_S
+        self._version = -1
+
+    def apply(self, manifest: Manifest) -> None:
+        """Take over a new generation; out domains own nothing."""
+        self._manifest = manifest
+        self._version = -1
+
+    def refresh(self, now_s: float) -> bool:
+        """Follow the membership.
+
+        Args:
+            now_s: The time.
+
+        Returns:
+            True when owners may have changed.
+        """
+        if self._version == self._membership.version:
+            return False
+        self._version = self._membership.version
+        members = {one.name: one.domain for one in self._eligible()}
+        if members == self._view.members:
+            return False
+        self._previous = self._view
+        self._view = _View(members)
+        self._changed_at_s = now_s
+        return True
+
+    def owners(self, service: str, index: int) -> Owners:
+        """Return owner and backup of a bucket."""
+        return self._view.rank(service, index, self._home(service, index))
+
+    def previous_owner(self, service: str, index: int, now_s: float) -> str:
+        """Return who owned a bucket until shortly before.
+
+        Args:
+            service: Name of the service.
+            index: Number of the bucket.
+            now_s: The time.
+
+        Returns:
+            The name of a VM that is still live; empty when the owner has not
+            changed within HANDOVER_GRACE_S.
+        """
+        if now_s - self._changed_at_s > HANDOVER_GRACE_S:
+            return ''
+        home = self._home(service, index)
+        before = self._previous.rank(service, index, home).owner
+        if before == self._view.rank(service, index, home).owner:
+            return ''
+        return before if before in self._membership.live else ''
+
+    def _home(self, service: str, index: int) -> str:
+        state = self._table.state(service, index)
+        return self._directory.domain_of(state.bases[0])
+
+    def _eligible(self):
+        manifest = self._manifest
+        if manifest is None:
+            return
+        for member in self._membership.serving():
+            if member.domain in manifest.domains_in:
+                yield member
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/peer_outflow.py
@@ -0,0 +1,161 @@
+"""Fills the messages to other entry VMs from the tables of this one."""
+
+import collections
+from collections.abc import Iterator
+
+from hibiscushatch_core.hashing import FLOW_KEY_BYTES
+from hibiscushatch_core.manifest import Upstream
+from hibiscushatch_core.messages import (
+    BucketMessage,
+    DepartedMessage,
+    EntriesMessage,
+    MemberMessage,
+    PeerMessage,
+    ServiceDigest,
+    bucket_to_message,
+)
+from hibiscushatch_node.flow_table import FlowEntry
+from hibiscushatch_node.membership import member_to_message
+from hibiscushatch_node.node_state import NodeState
+from hibiscushatch_node.peer_session import Outbox, PeerSession
+
+BUCKETS_A_MESSAGE = 512
+
+
+class PeerOutflow:
+    """Turns outboxes into messages."""
+
+    def __init__(self, state: NodeState) -> None:
+        self._state = state
+
+    def greet(self, session: PeerSession) -> None:
+        """Put into the outbox what a new peer must know.
+
+        Args:
+            session: The new connection.
+        """
+        membership = self._state.membership
+        session.outbox.members.update(one.name for one in membership.records)
+
+    def add_entry(
+        self, session: PeerSession, service: str, index: int, key: int
+    ) -> None:
+        """Put one entry into an outbox."""
+        entry = self._state.flows.find(service, index, key)
+        if entry is not None and entry.upstream:
+            message = pack_entries(service, index, {key: entry})
+            session.outbox.entries.append(message)
+            session.wake()
+
+    def add_bucket_entries(
+        self, session: PeerSession, service: str, index: int
+    ) -> None:
+        """Put all entries of a bucket into an outbox."""
+        entries = self._state.flows.bucket(service, index)
+        if entries:
+            session.outbox.entries.append(pack_entries(service, index, entries))
+            session.wake()
+
+    def collect(self, session: PeerSession) -> PeerMessage:
+        """Empty an outbox into a message.
+
+        Args:
+            session: The connection to send it on.
+
+        Returns:
+            The message, without numbers.
+        """
+        outbox = session.outbox
+        session.outbox = Outbox()
+        picked = tuple(sorted(outbox.buckets))[:BUCKETS_A_MESSAGE]
+        left = outbox.buckets.difference(picked)
+        if left:
+            session.outbox.buckets = left
+            session.outbox.table_done = outbox.table_done
+            session.wake()
+        hello = '' if session.next_number > 1 else self._state.name
+        return PeerMessage(
+            g=self._state.generation,
+            d=self._state.table.digest,
+            hello=hello,
+            members=tuple(self._members(outbox)),
+            buckets=tuple(self._buckets(picked)),
+            entries=tuple(outbox.entries),
+            claims=tuple(outbox.claims.values()),
+            departed=tuple(self._departed(picked)),
+            want_manifest=outbox.want_manifest,
+            want_table=outbox.want_table,
+            digests=tuple(self._digests(outbox)),
+            table_done=outbox.table_done and not left,
+            manifest=self._manifest(outbox),
+        )
+
+    def _members(self, outbox: Outbox) -> Iterator[MemberMessage]:
+        for name in sorted(outbox.members):
+            member = self._state.membership.find(name)
+            if member is not None:
+                yield member_to_message(member)
+
+    def _buckets(
+        self, picked: tuple[tuple[str, int], ...]
+    ) -> Iterator[BucketMessage]:
+        for service, index in picked:
+            if self._state.table.has(service, index):
+                state = self._state.table.state(service, index)
+                yield bucket_to_message(service, index, state)
+
+    def _departed(
+        self, picked: tuple[tuple[str, int], ...]
+    ) -> Iterator[DepartedMessage]:
+        if not picked:
+            return
+        for upstream in self._state.directory.departed:
+            yield _departed_message(upstream)
+
+    def _digests(self, outbox: Outbox) -> Iterator[ServiceDigest]:
+        if not outbox.want_table:
+            return
+        for service in self._state.table.services:
+            digest = self._state.table.service_digest(service)
+            yield ServiceDigest(s=service, d=digest)
+
+    def _manifest(self, outbox: Outbox) -> str:
+        committed = self._state.committed
+        if outbox.send_manifest and committed is not None:
+            return committed.blob.decode()
+        return ''
+
+
+def pack_entries(
+    service: str, index: int, entries: dict[int, FlowEntry]
+) -> EntriesMessage:
+    """Pack entries of one bucket, grouped by upstream.
+
+    Args:
+        service: Name of the service.
+        index: Number of the bucket.
+        entries: Entries by flow key.
+
+    Returns:
+        A message of seven to nine bytes an entry.
+    """
+    groups: dict[str, list[bytes]] = collections.defaultdict(list)
+    for key, entry in entries.items():
+        if entry.upstream:
+            groups[entry.upstream].append(key.to_bytes(FLOW_KEY_BYTES, 'big'))
+    return EntriesMessage.model_construct(
+        s=service,
+        i=index,
+        upstreams=tuple(groups),
+        keys=tuple(b''.join(keys) for keys in groups.values()),
+    )
+
+
+def _departed_message(upstream: Upstream) -> DepartedMessage:
+    return DepartedMessage(
+        s=upstream.service,
+        name=upstream.name,
+        domain=upstream.domain,
+        address=upstream.address,
+        port=upstream.tunnel_port,
+    )
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/reporting.py
@@ -0,0 +1,117 @@
+"""Builds the reports of an entry VM from its tables."""
+
+import collections
+from collections.abc import Iterator
+
+from hibiscushatch_core.manifest import Service
+from hibiscushatch_core.report import (
+    BucketReport,
+    MemberReport,
+    NodeReport,
+    ServiceReport,
+    UpstreamReport,
+)
+from hibiscushatch_node.admission import Admission
+from hibiscushatch_node.membership import MemberState
+from hibiscushatch_node.node_state import NodeState
+
+
+def build_report(state: NodeState, admission: Admission) -> NodeReport:
+    """Describe an entry VM.
+
+    Args:
+        state: Its tables.
+        admission: Its open flows by upstream.
+
+    Returns:
+        The report for operators.
+    """
+    own = state.membership.own
+    manifest = state.manifest
+    services = manifest.services if manifest else ()
+    serving = own.state is MemberState.SERVING
+    in_domain = manifest is not None and own.domain in manifest.domains_in
+    return NodeReport(
+        name=own.name,
+        domain=own.domain,
+        state=own.state.value,
+        ready=serving and in_domain,
+        generation=state.generation,
+        commit_id=state.committed.commit_id if state.committed else '',
+        members=tuple(_member_reports(state)),
+        services=tuple(
+            _service_report(state, admission, service) for service in services
+        ),
+    )
+
+
+def build_bucket_reports(
+    state: NodeState, service_name: str
+) -> tuple[BucketReport, ...]:
+    """Describe the buckets of a service.
+
+    Args:
+        state: The tables of an entry VM.
+        service_name: Name of the service.
+
+    Returns:
+        One report a bucket; none when the service is unknown.
+    """
+    return tuple(
+        BucketReport(
+            index=index,
+            version=bucket.stamp.version,
+            through_owner=bucket.through_owner,
+            bases=bucket.bases,
+            current=bucket.current,
+            owner=state.ownership.owners(service_name, index).owner,
+        )
+        for index, bucket in enumerate(state.table.states(service_name))
+    )
+
+
+def _member_reports(state: NodeState) -> Iterator[MemberReport]:
+    live = state.membership.live
+    for member in sorted(state.membership.records, key=lambda one: one.name):
+        if member.name != state.name:
+            yield MemberReport(
+                name=member.name,
+                domain=member.domain,
+                state=member.state.value,
+                live=member.name in live,
+                generation=member.generation,
+            )
+
+
+def _service_report(
+    state: NodeState, admission: Admission, service: Service
+) -> ServiceReport:
+    buckets = state.table.states(service.name)
+    return ServiceReport(
+        name=service.name,
+        buckets=len(buckets),
+        buckets_in_motion=sum(not one.at_rest for one in buckets),
+        buckets_owned=sum(
+            state.owns(service.name, index) for index in range(len(buckets))
+        ),
+        entries=state.flows.count(service.name),
+        upstreams=tuple(_upstream_reports(state, admission, service)),
+    )
+
+
+def _upstream_reports(
+    state: NodeState, admission: Admission, service: Service
+) -> Iterator[UpstreamReport]:
+    loads = collections.Counter(
+        bucket.current for bucket in state.table.states(service.name)
+    )
+    for upstream in service.upstreams:
+        yield UpstreamReport(
+            name=upstream.name,
+            domain=upstream.domain,
+            accepts_new_flows=state.manifest.accepts_new_flows(upstream.name),
+            buckets=loads[upstream.name],
+            open_flows=admission.open_flows(upstream.name),
+            share=upstream.connections,
+            phase='warm',
+        )
