Share the first bucket assignment and hand entries over on every change of owners

Cause, found with a rolling replacement of 9 entry VMs: (1) a replaced VM made its own first assignment from the newer manifest, and since unmoved buckets were never sent, its table differed for good; (2) the packet path followed the membership first, so the hand-over task never saw that owners had changed, and a returned owner looked flows up on the bucket's old upstream.

The change sends the first assignment as a layout that a joining VM takes over, counts it in the digest, and lets the hand-over follow a counter of changes. Ruled out: relays to the leaving VM (it forwards on for its grace).

--- a/packages/core/src/hibiscushatch_core/messages.py
+++ b/packages/core/src/hibiscushatch_core/messages.py
@@ -56,6 +56,19 @@
     n: tuple[StampMessage, ...] = ()
 
 
+class LayoutMessage(StrictModel):
+    """The assignment that the buckets of a service began with.
+
+    ``g`` is the manifest generation it was made from, ``indexes`` holds two
+    bytes a bucket: the position of its upstream in ``upstreams``.
+    """
+
+    s: str
+    g: int
+    upstreams: tuple[str, ...]
+    indexes: pydantic.Base64Bytes
+
+
 class EntriesMessage(StrictModel):
     """Flow entries of one bucket for its backup or next owner.
 
@@ -112,6 +125,7 @@
     entries: tuple[EntriesMessage, ...] = ()
     claims: tuple[ClaimMessage, ...] = ()
     departed: tuple[DepartedMessage, ...] = ()
+    layouts: tuple[LayoutMessage, ...] = ()
     want_manifest: bool = False
     want_table: bool = False
     digests: tuple[ServiceDigest, ...] = ()
--- a/packages/node/src/hibiscushatch_node/bucket_table.py
+++ b/packages/node/src/hibiscushatch_node/bucket_table.py
@@ -4,6 +4,7 @@
 
 from hibiscushatch_core.buckets import BucketState, join_states
 from hibiscushatch_core.hashing import hash_text
+from hibiscushatch_core.layout import Layout
 
 
 class BucketTable:
@@ -11,6 +12,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, list[BucketState]] = {}
+        self._layouts: dict[str, Layout] = {}
         self._digests: dict[str, int] = {}
         self._referenced: dict[str, int] = {}
 
@@ -35,25 +37,48 @@
         """Tell whether a bucket exists."""
         return index < len(self._states.get(service, ()))
 
-    def add_service(self, service: str, states: list[BucketState]) -> None:
+    def add_service(self, service: str, layout: Layout) -> None:
         """Create the buckets of a service.
 
         Args:
             service: Its name.
-            states: One state a bucket.
+            layout: The assignment to begin with.
         """
-        self._states[service] = list(states)
-        digest = 0
-        for index, state in enumerate(states):
-            digest ^= _digest_state(service, index, state)
+        self._layouts[service] = layout
+        self._states[service] = layout.states()
+        self._digests[service] = layout.digest
+        for state in self._states[service]:
             self._count_references(state, 1)
-        self._digests[service] = digest
+
+    def layout(self, service: str) -> Layout:
+        """Return the assignment that a service began with."""
+        return self._layouts[service]
+
+    def join_layout(self, service: str, layout: Layout) -> None:
+        """Unite a layout that another VM began with into the buckets.
+
+        Both VMs go on to the younger layout's digest, and each bucket whose
+        first upstreams differ knows both.
+
+        Args:
+            service: Name of the service.
+            layout: The other VM's layout.
+        """
+        mine = self._layouts[service]
+        if mine == layout or len(mine.upstreams) != len(layout.upstreams):
+            return
+        for index, state in enumerate(layout.states()):
+            self.join(service, index, state)
+        newer = max(mine, layout, key=lambda one: (one.generation, one.digest))
+        self._layouts[service] = newer
+        self._digests[service] ^= mine.digest ^ newer.digest
 
     def remove_service(self, service: str) -> None:
         """Drop the buckets of a service that left the manifest."""
         for state in self._states.pop(service, ()):
             self._count_references(state, -1)
         self._digests.pop(service, None)
+        self._layouts.pop(service, None)
 
     def state(self, service: str, index: int) -> BucketState:
         """Return the state of a bucket."""
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -57,7 +57,9 @@
             self._state, self._exit, self._mover, self._admission
         )
         self._handover = Handover(self._state, self._peers, self._outflow)
-        self._lifecycle = Lifecycle(self._state, self._peers, self._intake)
+        self._lifecycle = Lifecycle(
+            self._state, self._peers, self._intake, self._applier
+        )
         self._forwarder = Forwarder(
             self._state,
             self._exit,
--- a/packages/node/src/hibiscushatch_node/forwarder.py
+++ b/packages/node/src/hibiscushatch_node/forwarder.py
@@ -100,6 +100,9 @@
         if location is None:
             self._exit.drop(DropReason.UNKNOWN_SERVICE)
             return
+        if not self._state.table.has(location.service.name, 0):
+            self._exit.drop(DropReason.NO_MANIFEST)
+            return
         self._handle_relayed(relayed, headers, location)
 
     def _is_joining(self) -> bool:
--- a/packages/node/src/hibiscushatch_node/generation.py
+++ b/packages/node/src/hibiscushatch_node/generation.py
@@ -2,8 +2,9 @@
 
 import logging
 
-from hibiscushatch_core.buckets import BucketState, initial_state
-from hibiscushatch_core.manifest import Manifest, Service
+from hibiscushatch_core.layout import make_layout
+from hibiscushatch_core.manifest import Manifest
+from hibiscushatch_node.membership import MemberState
 from hibiscushatch_node.node_state import NodeState
 
 _logger = logging.getLogger(__name__)
@@ -26,30 +27,23 @@
         state.directory.apply(manifest, state.now())
         state.ownership.apply(manifest)
         state.manifest = manifest
+        if state.membership.own.state is not MemberState.JOINING:
+            self.lay_out_missing()
         state.ownership.refresh(state.now())
         _logger.info('manifest in force generation=%d', manifest.generation)
 
-    def _update_services(self, manifest: Manifest) -> None:
-        table = self._state.table
+    def lay_out_missing(self) -> None:
+        """Make the layouts that no peer had to give."""
+        manifest = self._state.manifest
         for service in manifest.services:
-            if len(table.states(service.name)) != service.buckets:
-                table.remove_service(service.name)
-                table.add_service(
-                    service.name, _initial_states(manifest, service)
+            if not self._state.table.has(service.name, 0):
+                self._state.table.add_service(
+                    service.name, make_layout(manifest, service)
                 )
+
+    def _update_services(self, manifest: Manifest) -> None:
+        table = self._state.table
+        sizes = {one.name: one.buckets for one in manifest.services}
         for name in table.services:
-            if name not in manifest.services_by_name:
+            if len(table.states(name)) != sizes.get(name):
                 table.remove_service(name)
-
-
-def _initial_states(manifest: Manifest, service: Service) -> list[BucketState]:
-    eligible = [
-        one.name
-        for one in service.upstreams
-        if manifest.accepts_new_flows(one.name)
-    ]
-    names = eligible or [one.name for one in service.upstreams]
-    return [
-        initial_state(manifest.generation, names[index % len(names)])
-        for index in range(service.buckets)
-    ]
--- a/packages/node/src/hibiscushatch_node/handover.py
+++ b/packages/node/src/hibiscushatch_node/handover.py
@@ -18,6 +18,7 @@
         self._state = state
         self._peers = peers
         self._outflow = outflow
+        self._changes_followed = 0
 
     async def run(self) -> None:
         """Hand over whenever owners change, until cancelled."""
@@ -25,7 +26,10 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self._state.manifest is None:
                 continue
-            if self._state.ownership.refresh(self._state.now()):
+            self._state.ownership.refresh(self._state.now())
+            changes = self._state.ownership.changes
+            if changes != self._changes_followed:
+                self._changes_followed = changes
                 self.hand_over_all()
 
     def hand_over_all(self) -> None:
--- a/packages/node/src/hibiscushatch_node/lifecycle.py
+++ b/packages/node/src/hibiscushatch_node/lifecycle.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 
+from hibiscushatch_node.generation import GenerationApplier
 from hibiscushatch_node.membership import MemberState
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.peer_intake import PeerIntake
@@ -22,11 +23,16 @@
     """Changes the state of this VM's record."""
 
     def __init__(
-        self, state: NodeState, peers: PeerNetwork, intake: PeerIntake
+        self,
+        state: NodeState,
+        peers: PeerNetwork,
+        intake: PeerIntake,
+        applier: GenerationApplier,
     ) -> None:
         self._state = state
         self._peers = peers
         self._intake = intake
+        self._applier = applier
         self._joining_since_s = state.now()
 
     @property
@@ -60,6 +66,7 @@
         if self._state.manifest is None:
             return
         if self._intake.table_complete or self._is_alone():
+            self._applier.lay_out_missing()
             self._become(MemberState.SERVING)
             return
         for session in self._peers.sessions:
--- a/packages/node/src/hibiscushatch_node/ownership.py
+++ b/packages/node/src/hibiscushatch_node/ownership.py
@@ -6,11 +6,12 @@
 """
 
 import dataclasses
+from collections.abc import Iterator
 
 from hibiscushatch_core.hashing import rank_by_rendezvous
 from hibiscushatch_core.manifest import Manifest
 from hibiscushatch_node.bucket_table import BucketTable
-from hibiscushatch_node.membership import Membership
+from hibiscushatch_node.membership import Member, Membership
 from hibiscushatch_node.upstream_directory import UpstreamDirectory
 
 HANDOVER_GRACE_S = 3.0
@@ -66,31 +67,34 @@
         self._previous = _View({})
         self._changed_at_s = -HANDOVER_GRACE_S
         self._version = -1
+        self._changes = 0
+
+    @property
+    def changes(self) -> int:
+        """How often the serving members have changed."""
+        return self._changes
 
     def apply(self, manifest: Manifest) -> None:
         """Take over a new generation; out domains own nothing."""
         self._manifest = manifest
         self._version = -1
 
-    def refresh(self, now_s: float) -> bool:
+    def refresh(self, now_s: float) -> None:
         """Follow the membership.
 
         Args:
             now_s: The time.
-
-        Returns:
-            True when owners may have changed.
         """
         if self._version == self._membership.version:
-            return False
+            return
         self._version = self._membership.version
         members = {one.name: one.domain for one in self._eligible()}
         if members == self._view.members:
-            return False
+            return
         self._previous = self._view
         self._view = _View(members)
         self._changed_at_s = now_s
-        return True
+        self._changes += 1
 
     def owners(self, service: str, index: int) -> Owners:
         """Return owner and backup of a bucket."""
@@ -120,7 +124,7 @@
         state = self._table.state(service, index)
         return self._directory.domain_of(state.bases[0])
 
-    def _eligible(self):
+    def _eligible(self) -> Iterator[Member]:
         manifest = self._manifest
         if manifest is None:
             return
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -5,9 +5,11 @@
 import abc
 
 from hibiscushatch_core.hashing import FLOW_KEY_BYTES
+from hibiscushatch_core.layout import Layout, unpack_indexes
 from hibiscushatch_core.messages import (
     BucketMessage,
     EntriesMessage,
+    LayoutMessage,
     PeerMessage,
     bucket_from_message,
 )
@@ -16,7 +18,7 @@
 from hibiscushatch_node.manifest_keeper import ManifestKeeper
 from hibiscushatch_node.membership import member_from_message
 from hibiscushatch_node.node_state import NodeState
-from hibiscushatch_node.peer_session import PeerSession
+from hibiscushatch_node.peer_session import Outbox, PeerSession
 
 MISMATCHES_BEFORE_TABLE = 6
 
@@ -71,10 +73,7 @@
         """
         self._take_members(session, message)
         self._take_manifest(session, message)
-        for departed in message.departed:
-            self._state.directory.learn_departed(departed)
-        for bucket in message.buckets:
-            self._take_bucket(session, bucket)
+        self._take_table(session, message)
         for entries in message.entries:
             self._take_entries(entries)
         self._answer_requests(session, message)
@@ -120,6 +119,30 @@
             session.outbox.buckets.add((message.s, message.i))
             session.wake()
 
+    def _take_table(self, session: PeerSession, message: PeerMessage) -> None:
+        for departed in message.departed:
+            self._state.directory.learn_departed(departed)
+        for layout in message.layouts:
+            self._take_layout(layout)
+        for bucket in message.buckets:
+            self._take_bucket(session, bucket)
+
+    def _take_layout(self, message: LayoutMessage) -> None:
+        manifest = self._state.manifest
+        if manifest is None or message.s not in manifest.services_by_name:
+            return
+        names = message.upstreams
+        layout = Layout(
+            message.g,
+            tuple(names[one] for one in unpack_indexes(message.indexes)),
+        )
+        if self._state.table.has(message.s, 0):
+            self._state.table.join_layout(message.s, layout)
+        elif len(layout.upstreams) == (
+            manifest.services_by_name[message.s].buckets
+        ):
+            self._state.table.add_service(message.s, layout)
+
     def _spread_if_unheard(
         self, session: PeerSession, message: BucketMessage
     ) -> None:
@@ -157,20 +180,22 @@
             outbox.send_manifest = True
             session.wake()
         if message.want_table:
-            theirs = {one.s: one.d for one in message.digests}
-            for service in self._state.table.services:
-                if theirs.get(service) != self._state.table.service_digest(
-                    service
-                ):
-                    outbox.buckets.update(
-                        (service, index)
-                        for index, _ in self._state.table.changed_states(
-                            service
-                        )
-                    )
+            self._queue_table(outbox, message)
             outbox.table_done = True
             session.wake()
 
+    def _queue_table(self, outbox: Outbox, message: PeerMessage) -> None:
+        """Queue all that differs from what a peer says it has."""
+        table = self._state.table
+        theirs = {one.s: one.d for one in message.digests}
+        for service in table.services:
+            if theirs.get(service) == table.service_digest(service):
+                continue
+            outbox.layouts.add(service)
+            outbox.buckets.update(
+                (service, index) for index, _ in table.changed_states(service)
+            )
+
     def _compare_digests(
         self, session: PeerSession, message: PeerMessage
     ) -> None:
--- a/packages/node/src/hibiscushatch_node/peer_outflow.py
+++ b/packages/node/src/hibiscushatch_node/peer_outflow.py
@@ -4,11 +4,13 @@
 from collections.abc import Iterator
 
 from hibiscushatch_core.hashing import FLOW_KEY_BYTES
+from hibiscushatch_core.layout import Layout, pack_indexes
 from hibiscushatch_core.manifest import Upstream
 from hibiscushatch_core.messages import (
     BucketMessage,
     DepartedMessage,
     EntriesMessage,
+    LayoutMessage,
     MemberMessage,
     PeerMessage,
     ServiceDigest,
@@ -82,7 +84,8 @@
             buckets=tuple(self._buckets(picked)),
             entries=tuple(outbox.entries),
             claims=tuple(outbox.claims.values()),
-            departed=tuple(self._departed(picked)),
+            departed=tuple(self._departed(outbox)),
+            layouts=tuple(self._layouts(outbox)),
             want_manifest=outbox.want_manifest,
             want_table=outbox.want_table,
             digests=tuple(self._digests(outbox)),
@@ -104,13 +107,16 @@
                 state = self._state.table.state(service, index)
                 yield bucket_to_message(service, index, state)
 
-    def _departed(
-        self, picked: tuple[tuple[str, int], ...]
-    ) -> Iterator[DepartedMessage]:
-        if not picked:
-            return
-        for upstream in self._state.directory.departed:
-            yield _departed_message(upstream)
+    def _departed(self, outbox: Outbox) -> Iterator[DepartedMessage]:
+        if outbox.table_done:
+            for upstream in self._state.directory.departed:
+                yield _departed_message(upstream)
+
+    def _layouts(self, outbox: Outbox) -> Iterator[LayoutMessage]:
+        for service in sorted(outbox.layouts):
+            if self._state.table.has(service, 0):
+                layout = self._state.table.layout(service)
+                yield _layout_message(service, layout)
 
     def _digests(self, outbox: Outbox) -> Iterator[ServiceDigest]:
         if not outbox.want_table:
@@ -159,3 +165,14 @@
         address=upstream.address,
         port=upstream.tunnel_port,
     )
+
+
+def _layout_message(service: str, layout: Layout) -> LayoutMessage:
+    names = tuple(sorted(set(layout.upstreams)))
+    positions = {name: position for position, name in enumerate(names)}
+    return LayoutMessage.model_construct(
+        s=service,
+        g=layout.generation,
+        upstreams=names,
+        indexes=pack_indexes([positions[name] for name in layout.upstreams]),
+    )
--- a/packages/node/src/hibiscushatch_node/peer_session.py
+++ b/packages/node/src/hibiscushatch_node/peer_session.py
@@ -25,6 +25,7 @@
     Attributes:
         members: Names of the VMs whose records changed.
         buckets: Service and index of the buckets that changed.
+        layouts: Services whose first assignment the peer asked for.
         entries: Flow entries for this peer alone.
         claims: Claims by upstream.
         want_manifest: Ask for its manifest.
@@ -36,6 +37,7 @@
 
     members: set[str] = dataclasses.field(default_factory=set)
     buckets: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    layouts: set[str] = dataclasses.field(default_factory=set)
     entries: list[EntriesMessage] = dataclasses.field(default_factory=list)
     claims: dict[str, ClaimMessage] = dataclasses.field(default_factory=dict)
     want_manifest: bool = False
