Count each open flow once, at its owner, and keep backups fresh

Cause, found by reading: copies held by a backup were counted as open flows, and a backup's copies of long flows were dropped after the idle timeout though their owner still needed them. The change counts entries only where their bucket is owned, hands all entries over when owners change, and has owners send unexplained entries again four times an idle timeout. A packet that arrives right after a pause is no longer decided on the old ownership.

--- a/packages/node/src/hibiscushatch_node/admission.py
+++ b/packages/node/src/hibiscushatch_node/admission.py
@@ -1,7 +1,13 @@
-"""Counts the open flows that this VM owns on each upstream."""
+"""Counts the open flows that this VM owns on each upstream.
+
+An entry is counted once, while it is placed, not closed, and its bucket is
+owned here; copies held as a backup are not counted.
+"""
 
 import collections
 
+from hibiscushatch_node.flow_table import FlowEntry
+
 
 class Admission:
     """Open flows owned here, by upstream."""
@@ -17,10 +23,14 @@
         """Tell whether this VM may place one more flow on an upstream."""
         return bool(upstream)
 
-    def opened(self, upstream: str) -> None:
-        """Count a flow that was placed on an upstream."""
-        self._open[upstream] += 1
-
-    def closed(self, upstream: str) -> None:
-        """Count a flow that ended on an upstream."""
-        self._open[upstream] = max(self._open[upstream] - 1, 0)
+    def count(self, entry: FlowEntry) -> None:
+        """Count a flow on its upstream unless it is counted already."""
+        if entry.upstream and not entry.counted:
+            entry.counted = True
+            self._open[entry.upstream] += 1
+
+    def uncount(self, entry: FlowEntry) -> None:
+        """Stop counting a flow; call it before its upstream changes."""
+        if entry.counted:
+            entry.counted = False
+            self._open[entry.upstream] -= 1
--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -135,7 +135,7 @@
             self._exit.to_upstream(
                 located.service, entry.upstream, located.packet
             )
-            self.admission.closed(entry.upstream)
+            self.admission.uncount(entry)
         if attempt is not None:
             self._forget(attempt)
             _settle_attempt(attempt, Answer.UNANSWERED)
@@ -206,7 +206,7 @@
         located = attempt.located
         attempt.entry.upstream = upstream
         attempt.answer = asyncio.get_running_loop().create_future()
-        self.admission.opened(upstream)
+        self.admission.count(attempt.entry)
         self._mover.note_entry(located.service.name, located.index, located.key)
         self._state.counters.flows_placed += 1
         self._exit.to_upstream(located.service, upstream, located.packet)
@@ -224,8 +224,8 @@
     def _abandon(self, attempt: _Attempt, upstream: str) -> None:
         located = attempt.located
         attempt.tried.add(upstream)
+        self.admission.uncount(attempt.entry)
         attempt.entry.upstream = ''
-        self.admission.closed(upstream)
         if located.service.key.protocol == packets.TCP:
             reset = packets.build_reset_as_sender(located.packet)
             self._exit.to_upstream(located.service, upstream, reset)
@@ -242,6 +242,7 @@
         """End an attempt; its entry stays a while to turn late answers away."""
         located = attempt.located
         self._attempts.pop((located.service.name, located.key), None)
+        self.admission.uncount(attempt.entry)
         attempt.entry.state = FlowState.CLOSING
         attempt.entry.upstream = ''
 
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -56,7 +56,9 @@
         self._connector = Connector(
             self._state, self._exit, self._mover, self._admission
         )
-        self._handover = Handover(self._state, self._peers, self._outflow)
+        self._handover = Handover(
+            self._state, self._peers, self._outflow, self._admission
+        )
         self._lifecycle = Lifecycle(
             self._state, self._peers, self._intake, self._applier
         )
@@ -114,7 +116,7 @@
             packet: The inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
-        self._state.ownership.refresh(self._state.now())
+        self._follow_time()
         self._forwarder.handle_edge(packet, sender_address)
 
     def handle_relay(self, datagram: bytes, sender_address: str) -> None:
@@ -124,7 +126,7 @@
             datagram: A relay header and an inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
-        self._state.ownership.refresh(self._state.now())
+        self._follow_time()
         self._forwarder.handle_relay(datagram, sender_address)
 
     def report(self) -> NodeReport:
@@ -135,6 +137,11 @@
         """Describe the buckets of a service; empty when it is unknown."""
         return reporting.build_bucket_reports(self._state, service_name)
 
+    def _follow_time(self) -> None:
+        now_s = self._state.now()
+        self._lifecycle.notice_time(now_s)
+        self._state.ownership.refresh(now_s)
+
     def _spawn(self, step: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=f'{self._state.name} {step}')
         task.add_done_callback(_log_failure)
--- a/packages/node/src/hibiscushatch_node/flow_owner.py
+++ b/packages/node/src/hibiscushatch_node/flow_owner.py
@@ -102,9 +102,13 @@
             self._state.flows.put(
                 located.service.name, located.index, located.key, entry
             )
-            self._connector.admission.opened(entry.upstream)
+            self._count(located, entry)
         return entry
 
+    def _count(self, located: LocatedPacket, entry: FlowEntry) -> None:
+        if self._state.owns(located.service.name, located.index):
+            self._connector.admission.count(entry)
+
     def _usable_base(self, located: LocatedPacket) -> str:
         """Choose where a flow without an entry is.
 
@@ -173,7 +177,7 @@
         if entry.state is FlowState.CONNECTING:
             return
         entry.state = FlowState.CLOSING
-        self._connector.admission.closed(entry.upstream)
+        self._connector.admission.uncount(entry)
 
     def _is_silent(self, located: LocatedPacket, entry: FlowEntry) -> bool:
         """Tell whether the upstream has lost track of a flow.
@@ -212,8 +216,7 @@
     ) -> None:
         if not located.headers.tcp_flags & packets.TCP_RST:
             self._exit.refuse(located.service, located.packet, reason)
-        if entry.state is FlowState.OPEN:
-            self._connector.admission.closed(entry.upstream)
+        self._connector.admission.uncount(entry)
         self._state.flows.remove(
             located.service.name, located.index, located.key
         )
@@ -237,7 +240,7 @@
         self._state.flows.put(
             located.service.name, located.index, located.key, entry
         )
-        self._connector.admission.opened(sender.name)
+        self._count(located, entry)
 
     def _turn_away_reply(
         self, located: LocatedPacket, sender: Upstream
--- a/packages/node/src/hibiscushatch_node/flow_sweeper.py
+++ b/packages/node/src/hibiscushatch_node/flow_sweeper.py
@@ -40,8 +40,8 @@
 
     def _drop(self, service: str, index: int, key: int) -> None:
         entry = self._state.flows.remove(service, index, key)
-        if entry is not None and entry.state is FlowState.OPEN:
-            self._admission.closed(entry.upstream)
+        if entry is not None:
+            self._admission.uncount(entry)
 
 
 def _is_dead(entry: FlowEntry, now_s: float, idle_s: float) -> bool:
--- a/packages/node/src/hibiscushatch_node/flow_table.py
+++ b/packages/node/src/hibiscushatch_node/flow_table.py
@@ -29,6 +29,7 @@
         waiting_since_s: When the caller sent payload that no reply has
             followed; 0 when it waits for nothing.
         payload_forwarded: Whether payload of the caller was sent on.
+        counted: Whether it counts as an open flow owned here.
     """
 
     upstream: str
@@ -36,6 +37,7 @@
     seen_at_s: float
     waiting_since_s: float = 0
     payload_forwarded: bool = False
+    counted: bool = False
 
 
 class FlowTable:
--- a/packages/node/src/hibiscushatch_node/forwarder.py
+++ b/packages/node/src/hibiscushatch_node/forwarder.py
@@ -82,7 +82,7 @@
             datagram: A relay header and an inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
-        if not self._is_peer(sender_address):
+        if sender_address not in self._state.membership.relay_hosts:
             self._exit.drop(DropReason.UNKNOWN_PEER)
             return
         relayed = decode_relayed(datagram)
@@ -108,12 +108,6 @@
     def _is_joining(self) -> bool:
         return self._state.membership.own.state is MemberState.JOINING
 
-    def _is_peer(self, address: str) -> bool:
-        return any(
-            member.relay[0] == address
-            for member in self._state.membership.records
-        )
-
     def _locate_service(
         self, headers: packets.PacketHeaders
     ) -> _ServiceLocation | None:
--- a/packages/node/src/hibiscushatch_node/handover.py
+++ b/packages/node/src/hibiscushatch_node/handover.py
@@ -1,24 +1,41 @@
-"""Hands the entries of buckets to their next owners."""
+"""Keeps the entries of buckets with those who need them.
+
+When owners change, all entries of a bucket go to its next owner, so that it
+knows every open flow. Entries that a bucket can't explain are also held by
+its backup; the owner sends them again at intervals, and what a backup has
+not been sent again is dropped like an idle flow.
+"""
 
 import asyncio
 
+from hibiscushatch_node.admission import Admission
+from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.node_state import NodeState
+from hibiscushatch_node.ownership import HANDOVER_GRACE_S
 from hibiscushatch_node.peer_outflow import PeerOutflow
 from hibiscushatch_node.peers import PeerNetwork
 
 CHECK_INTERVAL_S = 0.1
+BACKUP_REFRESHES_AN_IDLE_TIMEOUT = 4
 
 
 class Handover:
     """Follows the ownership of the buckets that this VM has entries of."""
 
     def __init__(
-        self, state: NodeState, peers: PeerNetwork, outflow: PeerOutflow
+        self,
+        state: NodeState,
+        peers: PeerNetwork,
+        outflow: PeerOutflow,
+        admission: Admission,
     ) -> None:
         self._state = state
         self._peers = peers
         self._outflow = outflow
+        self._admission = admission
         self._changes_followed = 0
+        self._drop_due_s = 0.0
+        self._refreshed_at_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Hand over whenever owners change, until cancelled."""
@@ -26,25 +43,71 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self._state.manifest is None:
                 continue
-            self._state.ownership.refresh(self._state.now())
+            now_s = self._state.now()
+            self._state.ownership.refresh(now_s)
             changes = self._state.ownership.changes
             if changes != self._changes_followed:
                 self._changes_followed = changes
+                self._drop_due_s = now_s + HANDOVER_GRACE_S
                 self.hand_over_all()
+            self._refresh_backups(now_s)
+            if self._drop_due_s and now_s > self._drop_due_s:
+                self._drop_due_s = 0
+                self._drop_foreign()
 
     def hand_over_all(self) -> None:
-        """Send the entries of each bucket in motion to its new keepers."""
+        """Send entries to the new owners and backups of all buckets."""
         self._state.ownership.refresh(self._state.now())
-        for service, index, _ in self._state.flows.buckets():
+        for service, index, entries in self._state.flows.buckets():
+            if self._state.table.has(service, index):
+                self._hand_over(service, index, entries)
+
+    def _hand_over(
+        self, service: str, index: int, entries: dict[int, FlowEntry]
+    ) -> None:
+        if self._state.owns(service, index):
+            for entry in entries.values():
+                if entry.state is not FlowState.CLOSING:
+                    self._admission.count(entry)
+            self._send_to_backup(service, index)
+            return
+        owner = self._state.ownership.owners(service, index).owner
+        session = self._peers.session(owner)
+        if session is not None:
+            self._outflow.add_bucket_entries(session, service, index)
+        for entry in entries.values():
+            self._admission.uncount(entry)
+
+    def _send_to_backup(self, service: str, index: int) -> None:
+        if self._state.table.state(service, index).at_rest:
+            return
+        backup = self._state.ownership.owners(service, index).backup
+        session = self._peers.session(backup)
+        if session is not None:
+            self._outflow.add_unexplained_entries(session, service, index)
+
+    def _refresh_backups(self, now_s: float) -> None:
+        for service in self._state.manifest.services:
+            period_s = service.idle_timeout_s / BACKUP_REFRESHES_AN_IDLE_TIMEOUT
+            last_s = self._refreshed_at_s.setdefault(service.name, now_s)
+            if now_s - last_s < period_s:
+                continue
+            self._refreshed_at_s[service.name] = now_s
+            for index in range(service.buckets):
+                if self._state.flows.bucket(service.name, index):
+                    self._refresh_backup(service.name, index)
+
+    def _refresh_backup(self, service: str, index: int) -> None:
+        if self._state.owns(service, index):
+            self._send_to_backup(service, index)
+
+    def _drop_foreign(self) -> None:
+        """Drop entries of buckets that are neither owned nor backed up."""
+        for service, index, entries in self._state.flows.buckets():
             if not self._state.table.has(service, index):
                 continue
-            if self._state.table.state(service, index).through_owner:
-                self._hand_over(service, index)
-
-    def _hand_over(self, service: str, index: int) -> None:
-        owners = self._state.ownership.owners(service, index)
-        keepers = frozenset((owners.owner, owners.backup))
-        for name in keepers:
-            session = self._peers.session(name)
-            if session is not None:
-                self._outflow.add_bucket_entries(session, service, index)
+            owners = self._state.ownership.owners(service, index)
+            if self._state.name in {owners.owner, owners.backup}:
+                continue
+            for key in tuple(entries):
+                self._state.flows.remove(service, index, key)
--- a/packages/node/src/hibiscushatch_node/lifecycle.py
+++ b/packages/node/src/hibiscushatch_node/lifecycle.py
@@ -34,22 +34,35 @@
         self._intake = intake
         self._applier = applier
         self._joining_since_s = state.now()
+        self._pulse_at_s = float('inf')
 
     @property
     def leave_s(self) -> float:
         """How long a leaving VM goes on forwarding, in seconds."""
         return LEAVE_S
 
+    def notice_time(self, now_s: float) -> None:
+        """Give up ownership if this process was paused until now.
+
+        Called before each packet is routed, so that none is decided on
+        authority that lapsed during the pause.
+
+        Args:
+            now_s: The time.
+        """
+        paused_s = now_s - self._pulse_at_s - PULSE_S
+        if paused_s > self._state.settings.timing.pause_detect_s:
+            self._pulse_at_s = now_s
+            self._rejoin()
+
     async def run(self) -> None:
         """Join, then watch for pauses until cancelled."""
-        last_s = self._state.now()
+        self._pulse_at_s = self._state.now()
         while True:
             await asyncio.sleep(PULSE_S)
             now_s = self._state.now()
-            paused_s = now_s - last_s - PULSE_S
-            last_s = now_s
-            if paused_s > self._state.settings.timing.pause_detect_s:
-                self._rejoin()
+            self.notice_time(now_s)
+            self._pulse_at_s = now_s
             if self._state.membership.own.state is MemberState.JOINING:
                 self._try_to_serve()
 
--- a/packages/node/src/hibiscushatch_node/membership.py
+++ b/packages/node/src/hibiscushatch_node/membership.py
@@ -128,6 +128,7 @@
         self._records: dict[str, Member] = {own.name: own}
         self._live: frozenset[str] = frozenset((own.name,))
         self._version = 0
+        self._relay_hosts: frozenset[str] = frozenset((own.relay[0],))
 
     @property
     def own(self) -> Member:
@@ -144,6 +145,11 @@
         """Names of the live VMs, this one included."""
         return self._live
 
+    @property
+    def relay_hosts(self) -> frozenset[str]:
+        """IPv4 addresses that relayed packets may come from."""
+        return self._relay_hosts
+
     @property
     def records(self) -> Iterator[Member]:
         """All records, live or not."""
@@ -281,6 +287,9 @@
             reached |= fresh
             frontier.extend(fresh)
         self._live = frozenset(reached)
+        self._relay_hosts = frozenset(
+            member.relay[0] for member in self._records.values()
+        )
         self._version += 1
 
 
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -154,6 +154,8 @@
         self._spreader.spread_bucket(message.s, message.i, without=session.name)
 
     def _take_entries(self, message: EntriesMessage) -> None:
+        if not self._state.table.has(message.s, message.i):
+            return
         now_s = self._state.now()
         for upstream, packed in zip(
             message.upstreams, message.keys, strict=True
@@ -170,7 +172,10 @@
         known = self._state.flows.find(message.s, message.i, key)
         if known is None or known.state is FlowState.CLOSING:
             self._state.flows.put(message.s, message.i, key, entry)
-            self._admission.opened(entry.upstream)
+            if self._state.owns(message.s, message.i):
+                self._admission.count(entry)
+        else:
+            known.seen_at_s = max(known.seen_at_s, entry.seen_at_s)
 
     def _answer_requests(
         self, session: PeerSession, message: PeerMessage
--- a/packages/node/src/hibiscushatch_node/peer_outflow.py
+++ b/packages/node/src/hibiscushatch_node/peer_outflow.py
@@ -16,7 +16,7 @@
     ServiceDigest,
     bucket_to_message,
 )
-from hibiscushatch_node.flow_table import FlowEntry
+from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.membership import member_to_message
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.peer_session import Outbox, PeerSession
@@ -42,20 +42,49 @@
     def add_entry(
         self, session: PeerSession, service: str, index: int, key: int
     ) -> None:
-        """Put one entry into an outbox."""
+        """Put one entry into an outbox if its bucket can't explain it."""
         entry = self._state.flows.find(service, index, key)
-        if entry is not None and entry.upstream:
-            message = pack_entries(service, index, {key: entry})
-            session.outbox.entries.append(message)
-            session.wake()
+        if entry is not None:
+            self._add_unexplained(session, service, index, {key: entry})
+
+    def add_unexplained_entries(
+        self, session: PeerSession, service: str, index: int
+    ) -> None:
+        """Put the entries that a bucket can't explain into an outbox."""
+        entries = self._state.flows.bucket(service, index)
+        self._add_unexplained(session, service, index, entries)
 
     def add_bucket_entries(
         self, session: PeerSession, service: str, index: int
     ) -> None:
         """Put all entries of a bucket into an outbox."""
         entries = self._state.flows.bucket(service, index)
-        if entries:
-            session.outbox.entries.append(pack_entries(service, index, entries))
+        live = {
+            key: entry
+            for key, entry in entries.items()
+            if entry.state is not FlowState.CLOSING
+        }
+        self._add(session, pack_entries(service, index, live))
+
+    def _add_unexplained(
+        self,
+        session: PeerSession,
+        service: str,
+        index: int,
+        entries: dict[int, FlowEntry],
+    ) -> None:
+        bases = self._state.table.state(service, index).bases
+        needed = {
+            key: entry
+            for key, entry in entries.items()
+            if entry.state is not FlowState.CLOSING
+            and (len(bases) > 1 or entry.upstream != bases[0])
+        }
+        self._add(session, pack_entries(service, index, needed))
+
+    def _add(self, session: PeerSession, message: EntriesMessage) -> None:
+        if message.upstreams:
+            session.outbox.entries.append(message)
             session.wake()
 
     def collect(self, session: PeerSession) -> PeerMessage:
