Hand entries over by what was owned, not by what is held

Cause: after any change of owners each backup sent its copies to the new owner, ended flows among them, and a bucket whose failure domain changed at rest left its entries with the old owner. The change remembers the owned buckets and acts on the difference.

--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -97,7 +97,7 @@
     async def stop(self) -> None:
         """Hand over what is owned, then stop all tasks."""
         await self._lifecycle.leave()
-        self._handover.hand_over_all()
+        self._handover.follow_owners()
         async with asyncio.timeout(self._settings.timing.stop_grace_s):
             await self._connector.stop()
             await self._peers.wait_acknowledged(
--- a/packages/node/src/hibiscushatch_node/handover.py
+++ b/packages/node/src/hibiscushatch_node/handover.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from hibiscushatch_node.admission import Admission
-from hibiscushatch_node.flow_table import FlowEntry, FlowState
+from hibiscushatch_node.flow_table import FlowState
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.ownership import HANDOVER_GRACE_S
 from hibiscushatch_node.peer_outflow import PeerOutflow
@@ -33,7 +33,8 @@
         self._peers = peers
         self._outflow = outflow
         self._admission = admission
-        self._changes_followed = 0
+        self._held: frozenset[tuple[str, int]] = frozenset()
+        self._followed = (0, 0)
         self._drop_due_s = 0.0
         self._refreshed_at_s: dict[str, float] = {}
 
@@ -45,38 +46,49 @@
                 continue
             now_s = self._state.now()
             self._state.ownership.refresh(now_s)
-            changes = self._state.ownership.changes
-            if changes != self._changes_followed:
-                self._changes_followed = changes
+            if self._followed != self._owners_version():
                 self._drop_due_s = now_s + HANDOVER_GRACE_S
-                self.hand_over_all()
+                self.follow_owners()
             self._refresh_backups(now_s)
             if self._drop_due_s and now_s > self._drop_due_s:
                 self._drop_due_s = 0
                 self._drop_foreign()
 
-    def hand_over_all(self) -> None:
-        """Send entries to the new owners and backups of all buckets."""
+    def follow_owners(self) -> None:
+        """Send the entries of lost buckets on, and take over gained ones."""
         self._state.ownership.refresh(self._state.now())
-        for service, index, entries in self._state.flows.buckets():
-            if self._state.table.has(service, index):
-                self._hand_over(service, index, entries)
+        self._followed = self._owners_version()
+        owned = frozenset(
+            (service, index)
+            for service, index, _ in self._state.flows.buckets()
+            if self._state.table.has(service, index)
+            and self._state.owns(service, index)
+        )
+        for service, index in sorted(self._held - owned):
+            self._give_up(service, index)
+        for service, index in sorted(owned - self._held):
+            self._take_over(service, index)
+        self._held = owned
 
-    def _hand_over(
-        self, service: str, index: int, entries: dict[int, FlowEntry]
-    ) -> None:
-        if self._state.owns(service, index):
-            for entry in entries.values():
-                if entry.state is not FlowState.CLOSING:
-                    self._admission.count(entry)
-            self._send_to_backup(service, index)
+    def _owners_version(self) -> tuple[int, int]:
+        """Return what differs whenever owners or backups may differ."""
+        return (self._state.ownership.changes, self._state.table.digest)
+
+    def _take_over(self, service: str, index: int) -> None:
+        for entry in self._state.flows.bucket(service, index).values():
+            if entry.state is not FlowState.CLOSING:
+                self._admission.count(entry)
+        self._send_to_backup(service, index)
+
+    def _give_up(self, service: str, index: int) -> None:
+        for entry in self._state.flows.bucket(service, index).values():
+            self._admission.uncount(entry)
+        if not self._state.table.has(service, index):
             return
         owner = self._state.ownership.owners(service, index).owner
         session = self._peers.session(owner)
         if session is not None:
             self._outflow.add_bucket_entries(session, service, index)
-        for entry in entries.values():
-            self._admission.uncount(entry)
 
     def _send_to_backup(self, service: str, index: int) -> None:
         if self._state.table.state(service, index).at_rest:
