--- a/packages/core/src/hibiscushatch_core/hashing.py
+++ b/packages/core/src/hibiscushatch_core/hashing.py
@@ -27,7 +27,7 @@
 
 def hash_text(text: str, seed: int = 0) -> int:
     """Hash a text to 64 bits."""
-    return xxhash.xxh3_64_intdigest(text, seed)
+    return xxhash.xxh3_64_intdigest(text.encode(), seed)
 
 
 def rank_by_rendezvous(names: Iterable[str], subject: str) -> list[str]:
