--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/upstream_health.py
@@ -0,0 +1,267 @@
+"""What an owner concludes about an upstream from the packets it sees.
+
+Every answer and every failure of a handshake counts. Failures cut the credit,
+the factor by which the share of the upstream is used, and answers add to it
+(additive increase, multiplicative decrease). Several failures without an
+answer between them make the upstream suspect and then dead; a dead one is
+probed with single flows and needs more answers the oftener it died lately.
+What its health endpoint reports is a hint: it speeds up a verdict that the
+packets support and never makes one.
+"""
+
+import dataclasses
+import enum
+import random
+
+
+class Verdict(enum.StrEnum):
+    """Whether an upstream may be given new flows.
+
+    A suspect one still gets new flows within its credit, but no bucket is
+    moved to it and no flow is tried again there; a dead one gets probes only.
+    """
+
+    USABLE = 'usable'
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+
+
+class Failure(enum.StrEnum):
+    """How an attempt to open a flow failed."""
+
+    REFUSED = 'refused'
+    UNREACHABLE = 'unreachable'
+    UNANSWERED = 'unanswered'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthSettings:
+    """Thresholds of the verdicts.
+
+    Attributes:
+        credit_floor: Least credit.
+        credit_step: What an answer adds to the credit.
+        credit_cut: Factor that a failure multiplies the credit by.
+        cut_gap_s: Failures closer than this cut the credit once, in seconds.
+        suspect_failures: Failures in a row that make it suspect.
+        dead_failures: Failures in a row that make it dead.
+        dead_after_s: Time that they have to span, in seconds.
+        answers_to_return: Answers in a row that make it usable again.
+        answers_max: Most that are asked for after repeated deaths.
+        damping_half_life_s: Time in which half a death is forgotten.
+        probe_min_s: First interval between probes of a dead one.
+        probe_max_s: Longest interval between probes.
+        slow_factor: Handshakes this much longer than usual are slow.
+        slow_floor_s: Handshakes shorter than this are never slow.
+        cold_signs: Slow or refused handshakes in a row that look cold.
+        hint_fresh_s: Time for which a hint counts.
+    """
+
+    credit_floor: float = 0.1
+    credit_step: float = 0.02
+    credit_cut: float = 0.5
+    cut_gap_s: float = 0.5
+    suspect_failures: int = 2
+    dead_failures: int = 4
+    dead_after_s: float = 1.0
+    answers_to_return: int = 2
+    answers_max: int = 16
+    damping_half_life_s: float = 60.0
+    probe_min_s: float = 1.0
+    probe_max_s: float = 30.0
+    slow_factor: float = 4.0
+    slow_floor_s: float = 0.02
+    cold_signs: int = 3
+    hint_fresh_s: float = 10.0
+
+
+DEFAULT_SETTINGS = HealthSettings()
+_USUAL_HANDSHAKE_WEIGHT = 0.05
+_PROBE_GROWTH = 2.0
+
+
+class UpstreamHealth:
+    """The state of one upstream as one owner sees it.
+
+    Args:
+        settings: Thresholds.
+    """
+
+    def __init__(self, settings: HealthSettings = DEFAULT_SETTINGS) -> None:
+        self._settings = settings
+        self._verdict = Verdict.USABLE
+        self._credit = 1.0
+        self._cut_at: float | None = None
+        self._failures = 0
+        self._failing_since = 0.0
+        self._answers = 0
+        self._cold_signs = 0
+        self._usual_handshake_s: float | None = None
+        self._deaths = _DecayingCount(settings.damping_half_life_s)
+        self._probes = _ProbeTimer(settings)
+        self._hint_until: float | None = None
+
+    @property
+    def verdict(self) -> Verdict:
+        """The present verdict."""
+        return self._verdict
+
+    @property
+    def credit(self) -> float:
+        """Factor by which the share of the upstream is used."""
+        return self._credit
+
+    @property
+    def looks_cold(self) -> bool:
+        """Whether the latest handshakes are like those of a cold one."""
+        return self._cold_signs >= self._settings.cold_signs
+
+    @property
+    def usual_handshake_s(self) -> float | None:
+        """Moving average of handshake times that were not slow."""
+        return self._usual_handshake_s
+
+    def answered(self, handshake_s: float, now: float) -> None:
+        """Count a handshake that the upstream answered.
+
+        Args:
+            handshake_s: From the SYN to its answer, in seconds.
+            now: Seconds.
+        """
+        self._failures = 0
+        self._answers += 1
+        self._note_handshake(handshake_s)
+        needed = self._answers_needed(now)
+        self._probes.reset()
+        if self._answers >= needed:
+            self._verdict = Verdict.USABLE
+        if not self._is_hinted(now):
+            step = self._settings.credit_step
+            self._credit = min(1.0, self._credit + step)
+
+    def failed(self, failure: Failure, now: float) -> None:
+        """Count an attempt that failed.
+
+        Args:
+            failure: How it failed.
+            now: Seconds.
+        """
+        if self._failures == 0:
+            self._failing_since = now
+        self._failures += 1
+        self._answers = 0
+        if failure is not Failure.UNREACHABLE:
+            self._cold_signs += 1
+        self._cut_credit(now)
+        self._judge_failures(now)
+
+    def hint_unhealthy(self, now: float) -> None:
+        """Note that its endpoint reports bad health or full load."""
+        self._hint_until = now + self._settings.hint_fresh_s
+
+    def cold_noted(self) -> None:
+        """Start to count signs of a cold upstream anew."""
+        self._cold_signs = 0
+        self._usual_handshake_s = None
+
+    def may_probe(self, now: float) -> bool:
+        """Tell whether a dead upstream is due for a single flow."""
+        return self._verdict is Verdict.DEAD and self._probes.is_due(now)
+
+    def probe_started(self, now: float, randomness: random.Random) -> None:
+        """Set the time of the next probe.
+
+        Args:
+            now: Seconds.
+            randomness: Source of jitter.
+        """
+        self._probes.start(now, randomness)
+
+    def _note_handshake(self, handshake_s: float) -> None:
+        usual = self._usual_handshake_s
+        if usual is None:
+            self._usual_handshake_s = handshake_s
+            self._cold_signs = 0
+            return
+        slow_s = max(
+            self._settings.slow_floor_s, usual * self._settings.slow_factor
+        )
+        if handshake_s > slow_s:
+            self._cold_signs += 1
+            return
+        self._cold_signs = 0
+        change = handshake_s - usual
+        self._usual_handshake_s = usual + change * _USUAL_HANDSHAKE_WEIGHT
+
+    def _cut_credit(self, now: float) -> None:
+        settings = self._settings
+        if self._cut_at is None or now - self._cut_at >= settings.cut_gap_s:
+            self._cut_at = now
+            cut = self._credit * settings.credit_cut
+            self._credit = max(settings.credit_floor, cut)
+
+    def _judge_failures(self, now: float) -> None:
+        if self._verdict is Verdict.DEAD:
+            return
+        settings = self._settings
+        failures = self._failures + int(self._is_hinted(now))
+        lasted_s = now - self._failing_since
+        is_long = lasted_s >= settings.dead_after_s
+        if failures >= settings.dead_failures and is_long:
+            self._verdict = Verdict.DEAD
+            self._deaths.add(now)
+            self._credit = settings.credit_floor
+        elif failures >= settings.suspect_failures:
+            self._verdict = Verdict.SUSPECT
+
+    def _answers_needed(self, now: float) -> int:
+        settings = self._settings
+        deaths = self._deaths.value_at(now)
+        needed = settings.answers_to_return * 2 ** max(0.0, deaths - 1)
+        return min(settings.answers_max, round(needed))
+
+    def _is_hinted(self, now: float) -> bool:
+        return self._hint_until is not None and now < self._hint_until
+
+
+class _DecayingCount:
+    """A count of events that halves in a fixed time."""
+
+    def __init__(self, half_life_s: float) -> None:
+        self._half_life_s = half_life_s
+        self._count = 0.0
+        self._counted_at = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        self._count = self.value_at(now) + 1
+        self._counted_at = now
+
+    def value_at(self, now: float) -> float:
+        """Return what is left of the count."""
+        passed = (now - self._counted_at) / self._half_life_s
+        return self._count * 0.5**passed
+
+
+class _ProbeTimer:
+    """Growing intervals between probes, with jitter."""
+
+    def __init__(self, settings: HealthSettings) -> None:
+        self._settings = settings
+        self._interval_s = settings.probe_min_s
+        self._due_at: float | None = None
+
+    def reset(self) -> None:
+        """Go back to the shortest interval."""
+        self._interval_s = self._settings.probe_min_s
+        self._due_at = None
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether the interval has passed."""
+        return self._due_at is None or now >= self._due_at
+
+    def start(self, now: float, randomness: random.Random) -> None:
+        """Begin the next interval, between half and one and a half."""
+        self._due_at = now + self._interval_s * (0.5 + randomness.random())
+        longer = self._interval_s * _PROBE_GROWTH
+        self._interval_s = min(self._settings.probe_max_s, longer)
--- /dev/null
+++ b/packages/core/tests/upstream_health_test.py
@@ -0,0 +1,129 @@
+"""Tests of hibiscushatch_core.upstream_health."""
+
+import itertools
+import math
+import random
+
+from hibiscushatch_core.upstream_health import (
+    DEFAULT_SETTINGS,
+    Failure,
+    UpstreamHealth,
+    Verdict,
+)
+
+HANDSHAKE_S = 0.003
+
+
+def kill(health: UpstreamHealth, start: float) -> float:
+    """Let attempts fail until the upstream is dead; return the time."""
+    for index in range(5):
+        health.failed(Failure.UNANSWERED, start + index)
+    assert health.verdict is Verdict.DEAD
+    return start + 5
+
+
+def answers_until_usable(health: UpstreamHealth, now: float) -> int:
+    """Count the answers that bring a dead upstream back."""
+    count = 0
+    while health.verdict is not Verdict.USABLE:
+        health.answered(HANDSHAKE_S, now)
+        count += 1
+    return count
+
+
+def test_verdicts_need_failures_in_a_row_over_time() -> None:
+    table = (
+        ('one failure', (0.0,), Verdict.USABLE),
+        ('two in a row', (0.0, 0.1), Verdict.SUSPECT),
+        ('a burst', (0.0, 0.01, 0.02, 0.03, 0.04), Verdict.SUSPECT),
+        ('four over time', (0.0, 0.5, 0.9, 1.0), Verdict.DEAD),
+    )
+    for case, times, verdict in table:
+        for failure in Failure:
+            health = UpstreamHealth()
+            for time in times:
+                health.failed(failure, time)
+            assert health.verdict is verdict, (case, failure)
+
+
+def test_an_answer_between_failures_keeps_it_usable() -> None:
+    health = UpstreamHealth()
+    for time in range(20):
+        health.failed(Failure.REFUSED, time)
+        health.answered(HANDSHAKE_S, time + 0.5)
+    assert health.verdict is Verdict.USABLE
+    assert not math.isclose(health.credit, 1, rel_tol=0.5)
+
+
+def test_credit_falls_by_half_once_a_gap_and_climbs_by_steps() -> None:
+    health = UpstreamHealth()
+    for _ in range(50):
+        health.failed(Failure.REFUSED, 1.0)
+    assert math.isclose(health.credit, DEFAULT_SETTINGS.credit_cut)
+    for time in range(2, 20):
+        health.failed(Failure.REFUSED, time)
+    assert math.isclose(health.credit, DEFAULT_SETTINGS.credit_floor)
+    for _ in range(100):
+        health.answered(HANDSHAKE_S, 30)
+    assert math.isclose(health.credit, 1)
+
+
+def test_hints_speed_up_a_verdict_but_make_none() -> None:
+    health = UpstreamHealth()
+    health.hint_unhealthy(0)
+    assert health.verdict is Verdict.USABLE
+    health.answered(HANDSHAKE_S, 1)
+    assert health.verdict is Verdict.USABLE
+    health.failed(Failure.UNANSWERED, 2)
+    assert health.verdict is Verdict.SUSPECT
+    late = UpstreamHealth()
+    late.hint_unhealthy(0)
+    late.failed(Failure.UNANSWERED, DEFAULT_SETTINGS.hint_fresh_s)
+    assert late.verdict is Verdict.USABLE
+
+
+def test_flapping_makes_the_return_slower_and_calm_forgets_it() -> None:
+    health = UpstreamHealth()
+    now = 0.0
+    needed = []
+    for _ in range(4):
+        now = kill(health, now)
+        needed.append(answers_until_usable(health, now))
+    assert needed[0] == DEFAULT_SETTINGS.answers_to_return, needed
+    assert needed == sorted(needed)
+    assert needed[-1] > 2 * needed[0]
+    now = kill(health, now + 20 * DEFAULT_SETTINGS.damping_half_life_s)
+    assert answers_until_usable(health, now) == needed[0]
+
+
+def test_probes_are_single_and_at_growing_intervals() -> None:
+    health = UpstreamHealth()
+    now = kill(health, 0)
+    source = random.Random(1)
+    times = []
+    for step in range(20000):
+        at = now + step * 0.01
+        if health.may_probe(at):
+            times.append(at)
+            health.probe_started(at, source)
+    gaps = [after - before for before, after in itertools.pairwise(times)]
+    assert len(times) < 20
+    assert gaps[0] <= 1.5 * DEFAULT_SETTINGS.probe_min_s + 0.01
+    assert max(gaps) > 10
+    assert max(gaps) <= 1.5 * DEFAULT_SETTINGS.probe_max_s + 0.01
+
+
+def test_slow_or_refused_handshakes_look_cold() -> None:
+    health = UpstreamHealth()
+    for _ in range(20):
+        health.answered(HANDSHAKE_S, 0)
+    health.answered(0.1, 1)
+    health.answered(0.1, 1)
+    health.answered(HANDSHAKE_S, 1)
+    assert not health.looks_cold
+    for _ in range(2):
+        health.answered(0.1, 2)
+    health.failed(Failure.REFUSED, 2)
+    assert health.looks_cold
+    health.cold_noted()
+    assert not health.looks_cold
