--- a/packages/core/tests/shares_test.py
+++ b/packages/core/tests/shares_test.py
@@ -135,6 +135,18 @@
             while self.flights:
                 self.deliver(0)
 
+    def heal(self) -> None:
+        """End all partitions, let all agree on weights and settle."""
+        self.cut.clear()
+        for name in NAMES:
+            for dead in NAMES:
+                self.learn_end(name, dead)
+        for name in NAMES:
+            if name not in self.ledgers:
+                self.start(name)
+            self.weigh(name, (1, 2, 3, 4))
+        self.settle()
+
 
 one_name = strategies.sampled_from(NAMES)
 number = strategies.integers(0, 7)
@@ -175,6 +187,8 @@
         getattr(fleet, name)(*arguments)
         assert fleet.granted <= limit
         assert fleet.opened <= limit
+    fleet.heal()
+    assert fleet.granted == limit
 
 
 def random_step(source: random.Random) -> tuple:
