Wire claims, warmth, health, the retry budget and the planner into the entry VM

Cause: new flows were placed without regard to what upstreams bear. The change lets the owner place a flow only within its granted claim, cuts the claim by the upstream's credit, spreads warmth records and dead verdicts, moves buckets by the plan, and bounds retries by a budget. In fleets over 16 VMs records are flooded along rings and only the own domain is meshed.

--- /dev/null
+++ b/packages/core/src/hibiscushatch_core/admission_messages.py
@@ -0,0 +1,66 @@
+"""Conversion of claims and warmth records to and from their border models."""
+
+from hibiscushatch_core.messages import (
+    ClaimAnnouncementMessage,
+    ClaimsMessage,
+    WarmthMessage,
+    WarmUpAgeMessage,
+)
+from hibiscushatch_core.shares import ClaimAnnouncement, ClaimMessage
+from hibiscushatch_core.warmth import WarmthRecord, WarmUpAge
+
+
+def claims_to_message(claims: ClaimMessage) -> ClaimsMessage:
+    """Convert the claims of this entry VM to their border model."""
+    return ClaimsMessage(
+        i=claims.incarnation,
+        m=claims.members,
+        s=claims.since,
+        r=claims.revision,
+        n=tuple(
+            ClaimAnnouncementMessage(u=one.upstream, n=one.claim)
+            for one in claims.announcements
+        ),
+        ci=claims.confirmed_incarnation,
+        cr=claims.confirmed_revision,
+        w=claims.reply_wanted,
+    )
+
+
+def claims_from_message(sender: str, message: ClaimsMessage) -> ClaimMessage:
+    """Convert the claims of another entry VM from their border model."""
+    return ClaimMessage(
+        sender=sender,
+        incarnation=message.i,
+        members=message.m,
+        since=message.s,
+        revision=message.r,
+        announcements=tuple(
+            ClaimAnnouncement(one.u, one.n) for one in message.n
+        ),
+        confirmed_incarnation=message.ci,
+        confirmed_revision=message.cr,
+        reply_wanted=message.w,
+    )
+
+
+def warmth_to_message(record: WarmthRecord) -> WarmthMessage:
+    """Convert a warmth record to its border model."""
+    return WarmthMessage(
+        u=record.upstream,
+        g=record.generation,
+        t=record.turns,
+        a=tuple(
+            WarmUpAgeMessage(o=one.origin, ms=one.age_ms) for one in record.ages
+        ),
+    )
+
+
+def warmth_from_message(message: WarmthMessage) -> WarmthRecord:
+    """Convert a warmth record from its border model."""
+    return WarmthRecord(
+        message.u,
+        message.g,
+        message.t,
+        tuple(WarmUpAge(one.o, one.ms) for one in message.a),
+    )
--- a/packages/core/src/hibiscushatch_core/layout.py
+++ b/packages/core/src/hibiscushatch_core/layout.py
@@ -11,6 +11,7 @@
 from hibiscushatch_core.buckets import BucketState, initial_state
 from hibiscushatch_core.hashing import hash_text
 from hibiscushatch_core.manifest import Manifest, Service
+from hibiscushatch_core.move_plan import UpstreamRow, assign_initially
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,13 +48,21 @@
         A layout over the upstreams that take new flows, or over all of them
         when none does.
     """
-    eligible = [
-        one.name
+    rows = [
+        UpstreamRow(
+            one.name,
+            one.domain,
+            one.connections,
+            is_eligible=manifest.accepts_new_flows(one.name),
+        )
         for one in service.upstreams
-        if manifest.accepts_new_flows(one.name)
     ]
-    names = eligible or [one.name for one in service.upstreams]
-    assigned = (names[index % len(names)] for index in range(service.buckets))
+    assigned = assign_initially(service.buckets, rows)
+    if not assigned:
+        everything = [
+            dataclasses.replace(row, is_eligible=True) for row in rows
+        ]
+        assigned = assign_initially(service.buckets, everything)
     return Layout(manifest.generation, tuple(assigned))
 
 
--- a/packages/core/src/hibiscushatch_core/messages.py
+++ b/packages/core/src/hibiscushatch_core/messages.py
@@ -19,7 +19,8 @@
     """What an entry VM says of itself; others pass it on unchanged.
 
     ``state`` is joining, serving or leaving; ``hears`` names the VMs whose
-    heartbeats it receives; a higher (incarnation, sequence) replaces a lower.
+    heartbeats it receives, ``dead`` the upstreams it judges dead; a higher
+    (incarnation, sequence) replaces a lower.
     """
 
     name: str
@@ -31,6 +32,7 @@
     relay: SocketAddress
     generation: int
     hears: tuple[str, ...]
+    dead: tuple[str, ...] = ()
 
 
 class StampMessage(StrictModel):
@@ -83,12 +85,40 @@
     removed: pydantic.Base64Bytes = b''
 
 
-class ClaimMessage(StrictModel):
-    """How many open flows an entry VM may own on an upstream."""
+class ClaimAnnouncementMessage(StrictModel):
+    """Open flows that the sender claims on an upstream."""
 
     u: str
     n: int
-    r: int = 0
+
+
+class ClaimsMessage(StrictModel):
+    """The fields of ``shares.ClaimMessage`` but its sender, in its order."""
+
+    i: int
+    m: int
+    s: int
+    r: int
+    n: tuple[ClaimAnnouncementMessage, ...] = ()
+    ci: int = 0
+    cr: int = 0
+    w: bool = False
+
+
+class WarmUpAgeMessage(StrictModel):
+    """How long ago the first flow after a turn to cold was, by origin."""
+
+    o: str = ''
+    ms: int | None = None
+
+
+class WarmthMessage(StrictModel):
+    """The fields of ``warmth.WarmthRecord`` in its order."""
+
+    u: str
+    g: int = 0
+    t: int = 0
+    a: tuple[WarmUpAgeMessage, ...] = ()
 
 
 class DepartedMessage(StrictModel):
@@ -123,7 +153,9 @@
     members: tuple[MemberMessage, ...] = ()
     buckets: tuple[BucketMessage, ...] = ()
     entries: tuple[EntriesMessage, ...] = ()
-    claims: tuple[ClaimMessage, ...] = ()
+    claims: ClaimsMessage | None = None
+    claim_members: tuple[str, ...] = ()
+    warmth: tuple[WarmthMessage, ...] = ()
     departed: tuple[DepartedMessage, ...] = ()
     layouts: tuple[LayoutMessage, ...] = ()
     want_manifest: bool = False
--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -10,11 +10,14 @@
 import enum
 
 from hibiscushatch_core import packets
+from hibiscushatch_core.manifest import Service
 from hibiscushatch_core.reasons import (
     DropReason,
     RefusalReason,
     RetryReason,
 )
+from hibiscushatch_core.retry_budget import RetryBudget, RetryBudgetSettings
+from hibiscushatch_core.upstream_health import Failure, Verdict
 from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.located_packet import LocatedPacket
@@ -22,6 +25,9 @@
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.packet_exit import PacketExit
 
+ROOM_POLL_S = 0.05
+ROOM_WAIT_S = 1.0
+
 
 class Answer(enum.Enum):
     """What came of one placement."""
@@ -31,6 +37,10 @@
     UNANSWERED = 'unanswered'
 
 
+_FAILURES = {
+    Answer.REFUSED: Failure.REFUSED,
+    Answer.UNANSWERED: Failure.UNANSWERED,
+}
 _RETRY_REASONS = {
     Answer.REFUSED: RetryReason.CONNECT_REFUSED,
     Answer.UNANSWERED: RetryReason.CONNECT_UNANSWERED,
@@ -45,6 +55,7 @@
         located: Its SYN.
         entry: Its entry.
         deadline_s: When it is refused at the latest.
+        sent_at_s: When it was placed last.
         answer: Set with the answer of the placement under way.
         tried: Upstreams it was placed on in vain.
     """
@@ -52,6 +63,7 @@
     located: LocatedPacket
     entry: FlowEntry
     deadline_s: float
+    sent_at_s: float = 0
     answer: asyncio.Future[Answer] | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
 
@@ -71,6 +83,7 @@
         self._mover = mover
         self._attempts: dict[tuple[str, int], _Attempt] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._budgets: dict[str, RetryBudget] = {}
         self.admission = admission
 
     def begin(self, located: LocatedPacket) -> None:
@@ -85,6 +98,7 @@
         self._state.flows.put(service.name, located.index, located.key, entry)
         attempt = _Attempt(located, entry, now_s + service.connect_deadline_s)
         self._attempts[(service.name, located.key)] = attempt
+        self._budget(service).flow_opened(now_s)
         task = asyncio.create_task(self._place(attempt))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -116,6 +130,7 @@
             self._settle(located, Answer.REFUSED)
             return
         entry.state = FlowState.OPEN
+        self._note_handshake(located, entry)
         self._settle(located, Answer.ACCEPTED)
         self._exit.to_caller(located.packet)
 
@@ -129,6 +144,12 @@
         if attempt is not None:
             _settle_attempt(attempt, answer)
 
+    def _note_handshake(self, located: LocatedPacket, entry: FlowEntry) -> None:
+        attempt = self._attempts.get((located.service.name, located.key))
+        if attempt is not None:
+            handshake_s = self._state.now() - attempt.sent_at_s
+            self.admission.answered(entry.upstream, handshake_s)
+
     def _cancel(self, located: LocatedPacket, entry: FlowEntry) -> None:
         attempt = self._attempts.get((located.service.name, located.key))
         if entry.upstream:
@@ -141,23 +162,44 @@
             _settle_attempt(attempt, Answer.UNANSWERED)
 
     async def _place(self, attempt: _Attempt) -> None:
-        service = attempt.located.service
         while self._is_current(attempt):
             upstream = self._choose(attempt)
-            if not upstream:
+            if not upstream and self._may_get_room(attempt):
+                await asyncio.sleep(ROOM_POLL_S)
+            elif not upstream:
                 self._refuse(attempt, self._reason_without_choice(attempt))
-                return
-            if not await self._prepare(attempt, upstream):
-                continue
-            answer = await self._try(attempt, upstream)
-            if answer is Answer.ACCEPTED or not self._is_current(attempt):
-                self._attempts.pop((service.name, attempt.located.key), None)
-                return
-            self._abandon(attempt, upstream)
-            if not self._may_retry(attempt):
-                self._refuse(attempt, RefusalReason.CONNECT_DEADLINE)
-                return
+            elif await self._prepare(attempt, upstream):
+                await self._place_on(attempt, upstream)
+
+    async def _place_on(self, attempt: _Attempt, upstream: str) -> None:
+        """Try one upstream; end the attempt unless it is to be retried."""
+        located = attempt.located
+        answer = await self._try(attempt, upstream)
+        if not self._is_current(attempt):
+            return
+        if answer is Answer.ACCEPTED:
+            self._attempts.pop((located.service.name, located.key))
+            return
+        self._abandon(attempt, upstream, answer)
+        refusal = self._reason_not_to_retry(attempt)
+        if refusal is None:
             self._state.counters.retries[_RETRY_REASONS[answer]] += 1
+        else:
+            self._refuse(attempt, refusal)
+
+    def _may_get_room(self, attempt: _Attempt) -> bool:
+        """Tell whether a share that is due here may be granted in a moment.
+
+        An entry VM that has just become the owner of a bucket waits for the
+        other VMs' confirmation of its claim.
+        """
+        if self._state.now() - attempt.entry.seen_at_s > ROOM_WAIT_S:
+            return False
+        return any(
+            self.admission.ledger.is_raising(one.name)
+            and self._mover.is_eligible(one.name)
+            for one in attempt.located.service.upstreams
+        )
 
     def _is_current(self, attempt: _Attempt) -> bool:
         located = attempt.located
@@ -166,20 +208,33 @@
 
     def _choose(self, attempt: _Attempt) -> str:
         located = attempt.located
-        bucket = self._state.table.state(located.service.name, located.index)
+        service_name = located.service.name
+        bucket = self._state.table.state(service_name, located.index)
         candidates = (
             bucket.current,
-            *self._mover.alternatives(located.service.name, located.index),
+            *self._mover.alternatives(service_name, located.index),
         )
         usable = (
             name
             for name in candidates
-            if name not in attempt.tried
-            and self._mover.is_eligible(name)
-            and self.admission.may_open(name)
+            if name not in attempt.tried and self._takes_flow(name, attempt)
         )
         return next(usable, '')
 
+    def _takes_flow(self, upstream: str, attempt: _Attempt) -> bool:
+        if not self._mover.accepts_new_flows(upstream):
+            return False
+        if not self._mover.is_reachable(upstream):
+            return False
+        if not self.admission.may_open(upstream):
+            return False
+        verdict = self.admission.verdict(upstream)
+        if verdict is Verdict.DEAD:
+            return self.admission.may_probe(upstream)
+        if upstream in self._state.membership.dead_upstreams():
+            return False
+        return verdict is Verdict.USABLE or not attempt.tried
+
     def _reason_without_choice(self, attempt: _Attempt) -> RefusalReason:
         if attempt.tried:
             return RefusalReason.UPSTREAM_REFUSED
@@ -206,7 +261,10 @@
         located = attempt.located
         attempt.entry.upstream = upstream
         attempt.answer = asyncio.get_running_loop().create_future()
-        self.admission.count(attempt.entry)
+        if self.admission.verdict(upstream) is Verdict.DEAD:
+            self.admission.probe_started(upstream)
+        self.admission.placed(attempt.entry)
+        attempt.sent_at_s = self._state.now()
         self._mover.note_entry(located.service.name, located.index, located.key)
         self._state.counters.flows_placed += 1
         self._exit.to_upstream(located.service, upstream, located.packet)
@@ -221,8 +279,12 @@
         retry_s = attempt.located.service.connect_retry_s
         return max(min(remaining_s, retry_s), 0)
 
-    def _abandon(self, attempt: _Attempt, upstream: str) -> None:
+    def _abandon(
+        self, attempt: _Attempt, upstream: str, answer: Answer
+    ) -> None:
         located = attempt.located
+        if self._mover.is_reachable(upstream):
+            self.admission.failed(upstream, _FAILURES[answer])
         attempt.tried.add(upstream)
         self.admission.uncount(attempt.entry)
         attempt.entry.upstream = ''
@@ -230,8 +292,20 @@
             reset = packets.build_reset_as_sender(located.packet)
             self._exit.to_upstream(located.service, upstream, reset)
 
-    def _may_retry(self, attempt: _Attempt) -> bool:
-        return self._state.now() < attempt.deadline_s
+    def _reason_not_to_retry(self, attempt: _Attempt) -> RefusalReason | None:
+        now_s = self._state.now()
+        if now_s >= attempt.deadline_s:
+            return RefusalReason.CONNECT_DEADLINE
+        if not self._budget(attempt.located.service).take(now_s):
+            return RefusalReason.RETRY_BUDGET
+        return None
+
+    def _budget(self, service: Service) -> RetryBudget:
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            budget = RetryBudget(RetryBudgetSettings(), self._state.now())
+            self._budgets[service.name] = budget
+        return budget
 
     def _refuse(self, attempt: _Attempt, reason: RefusalReason) -> None:
         located = attempt.located
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -34,6 +34,8 @@
 
 __all__ = ('EntryVm', 'EntryVmPorts')
 
+ADMISSION_POLL_S = 0.1
+
 _logger = logging.getLogger(__name__)
 
 
@@ -43,15 +45,15 @@
     def __init__(self, settings: NodeSettings, ports: EntryVmPorts) -> None:
         self._settings = settings
         self._state = NodeState(settings, ports)
-        self._admission = Admission()
+        self._admission = Admission(self._state)
         self._keeper = ManifestKeeper(
             self._state, self._apply_manifest, self._introduce
         )
         self._applier = GenerationApplier(self._state)
         self._intake = PeerIntake(self._state, self._keeper, self._admission)
-        self._outflow = PeerOutflow(self._state)
+        self._outflow = PeerOutflow(self._state, self._admission)
         self._peers = PeerNetwork(self._state, self._intake, self._outflow)
-        self._mover = BucketMover(self._state, self._peers)
+        self._mover = BucketMover(self._state, self._peers, self._admission)
         self._exit = PacketExit(self._state)
         self._connector = Connector(
             self._state, self._exit, self._mover, self._admission
@@ -86,13 +88,18 @@
                 peer.name, peer.domain, peer.control.pair, peer.relay.pair
             )
         sweeper = FlowSweeper(self._state, self._admission)
-        self._spawn('manifest', self._keeper.run())
-        self._spawn('registration', self._keeper.register())
-        self._spawn('peers', self._peers.run())
-        self._spawn('mover', self._mover.run())
-        self._spawn('handover', self._handover.run())
-        self._spawn('sweeper', sweeper.run())
-        self._spawn('lifecycle', self._lifecycle.run())
+        work = {
+            'manifest': self._keeper.run(),
+            'registration': self._keeper.register(),
+            'peers': self._peers.run(),
+            'mover': self._mover.run(),
+            'admission': self._run_admission(),
+            'handover': self._handover.run(),
+            'sweeper': sweeper.run(),
+            'lifecycle': self._lifecycle.run(),
+        }
+        for step, coroutine in work.items():
+            self._spawn(step, coroutine)
 
     async def stop(self) -> None:
         """Hand over what is owned, then stop all tasks."""
@@ -147,7 +154,17 @@
         task.add_done_callback(_log_failure)
         self._tasks.append(task)
 
+    async def _run_admission(self) -> None:
+        """Keep claims current and tell peers of them until cancelled."""
+        while True:
+            await asyncio.sleep(ADMISSION_POLL_S)
+            if self._state.manifest is None:
+                continue
+            if self._admission.refresh_if_due():
+                self._peers.publish_admission(self._admission)
+
     def _apply_manifest(self, manifest: Manifest) -> None:
+        self._admission.follow_manifest(self._state.manifest, manifest)
         self._applier.apply(manifest)
         if self._state.membership.update_own(generation=manifest.generation):
             self._peers.spread_member(self._state.name)
--- a/packages/node/src/hibiscushatch_node/membership.py
+++ b/packages/node/src/hibiscushatch_node/membership.py
@@ -43,6 +43,7 @@
         relay: Where it takes relayed packets.
         generation: Manifest generation it has in force.
         hears: Names of the VMs whose heartbeats it receives.
+        dead: Names of the upstreams that it judges dead.
     """
 
     name: str
@@ -54,6 +55,7 @@
     relay: tuple[str, int]
     generation: int
     hears: frozenset[str]
+    dead: frozenset[str] = frozenset()
 
     @property
     def version(self) -> tuple[int, int]:
@@ -96,6 +98,7 @@
         relay=message.relay.pair,
         generation=message.generation,
         hears=frozenset(message.hears),
+        dead=frozenset(message.dead),
     )
 
 
@@ -112,6 +115,7 @@
             'relay': _address_fields(member.relay),
             'generation': member.generation,
             'hears': sorted(member.hears),
+            'dead': sorted(member.dead),
         }
     )
 
@@ -127,6 +131,8 @@
         self._own_name = own.name
         self._records: dict[str, Member] = {own.name: own}
         self._live: frozenset[str] = frozenset((own.name,))
+        self._live_domains: frozenset[str] = frozenset((own.domain,))
+        self._dead: frozenset[str] = frozenset()
         self._version = 0
         self._relay_hosts: frozenset[str] = frozenset((own.relay[0],))
 
@@ -165,6 +171,7 @@
         state: MemberState | None = None,
         generation: int | None = None,
         hears: frozenset[str] | None = None,
+        dead: frozenset[str] | None = None,
     ) -> bool:
         """Change this VM's record.
 
@@ -172,6 +179,7 @@
             state: The new state, if it changes.
             generation: The manifest generation in force, if it changes.
             hears: The VMs heard, if they change.
+            dead: The upstreams judged dead, if they change.
 
         Returns:
             True when the record differs and is to be published.
@@ -182,6 +190,7 @@
             state=own.state if state is None else state,
             generation=own.generation if generation is None else generation,
             hears=own.hears if hears is None else hears,
+            dead=own.dead if dead is None else dead,
         )
         if changed == own:
             return False
@@ -248,8 +257,8 @@
         )
         return next(between, None)
 
-    def link_names(self) -> frozenset[str]:
-        """Name the VMs that this one should be connected with.
+    def flood_names(self) -> frozenset[str]:
+        """Name the VMs that records and buckets are passed on to.
 
         Returns:
             All known VMs up to MESH_MEMBERS_MAX; in larger fleets neighbours
@@ -259,21 +268,38 @@
         others = frozenset(self._records) - {self._own_name}
         if len(others) < MESH_MEMBERS_MAX:
             return others
-        domain = self.own.domain
-        same_domain = (
-            one.name for one in self._records.values() if one.domain == domain
-        )
+        own = self._own_name
         return frozenset(
             (
-                *ring_neighbours(
-                    same_domain, self._own_name, DOMAIN_LINKS_EACH_WAY
-                ),
-                *ring_neighbours(
-                    self._records, self._own_name, FLEET_LINKS_EACH_WAY
-                ),
+                *ring_neighbours(self._domain(), own, DOMAIN_LINKS_EACH_WAY),
+                *ring_neighbours(self._records, own, FLEET_LINKS_EACH_WAY),
             )
         )
 
+    def link_names(self) -> frozenset[str]:
+        """Name the VMs that this one should be connected with.
+
+        Returns:
+            Those that records are passed on to, and all of the own domain,
+            whose buckets this VM owns in turn with them.
+        """
+        own_domain = frozenset(self._domain()) - {self._own_name}
+        return self.flood_names() | own_domain
+
+    def dead_upstreams(self) -> frozenset[str]:
+        """Name the upstreams that a live VM judges dead."""
+        return self._dead
+
+    def live_domains(self) -> frozenset[str]:
+        """Name the failure domains that a live VM is in."""
+        return self._live_domains
+
+    def _domain(self) -> Iterator[str]:
+        domain = self.own.domain
+        for member in self._records.values():
+            if member.domain == domain:
+                yield member.name
+
     def _store(self, member: Member) -> None:
         self._records[member.name] = member
         self._recompute()
@@ -287,6 +313,9 @@
             reached |= fresh
             frontier.extend(fresh)
         self._live = frozenset(reached)
+        live = [self._records[name] for name in self._live]
+        self._live_domains = frozenset(member.domain for member in live)
+        self._dead = frozenset(name for member in live for name in member.dead)
         self._relay_hosts = frozenset(
             member.relay[0] for member in self._records.values()
         )
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -8,13 +8,19 @@
 
 import abc
 import asyncio
-import collections
 import dataclasses
 from collections.abc import Iterator
 
 from hibiscushatch_core.buckets import BucketState, change_state
 from hibiscushatch_core.hashing import rank_by_rendezvous
 from hibiscushatch_core.manifest import Service
+from hibiscushatch_core.move_plan import (
+    BucketRow,
+    PlannedMove,
+    UpstreamRow,
+    plan_moves,
+)
+from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.node_state import NodeState
 
@@ -53,15 +59,35 @@
 class BucketMover:
     """Moves the buckets that this VM owns."""
 
-    def __init__(self, state: NodeState, publisher: BucketPublisher) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        publisher: BucketPublisher,
+        admission: Admission,
+    ) -> None:
         self._state = state
+        self._admission = admission
         self._publisher = publisher
         self._opening: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._motions: dict[tuple[str, int], _Motion] = {}
         self._answered_at_s: dict[str, float] = {}
 
     def is_eligible(self, upstream: str) -> bool:
-        """Tell whether an upstream may get new flows."""
+        """Tell whether buckets may be moved to an upstream."""
+        if upstream in self._state.membership.dead_upstreams():
+            return False
+        return self.accepts_new_flows(upstream)
+
+    def is_reachable(self, upstream: str) -> bool:
+        """Tell whether the failure domain of an upstream can be reached.
+
+        A domain of which no entry VM is heard counts as cut off.
+        """
+        domain = self._state.directory.domain_of(upstream)
+        return domain in self._state.membership.live_domains()
+
+    def accepts_new_flows(self, upstream: str) -> bool:
+        """Tell whether the manifest lets an upstream get new flows now."""
         manifest = self._state.manifest
         if manifest is None or not manifest.accepts_new_flows(upstream):
             return False
@@ -169,25 +195,35 @@
         self._publisher.publish_bucket(service, index)
 
     async def _move_buckets(self, service: Service) -> None:
-        eligible = [
-            one.name for one in service.upstreams if self.is_eligible(one.name)
+        moves = [
+            self.move(service.name, one.bucket, one.target)
+            for one in self._plan(service)
+            if self._state.owns(service.name, one.bucket)
         ]
-        if not eligible:
-            return
-        loads = collections.Counter(
-            bucket.current for bucket in self._state.table.states(service.name)
-        )
-        loads.update(dict.fromkeys(eligible, 0))
-        moves = []
-        for index, bucket in enumerate(self._state.table.states(service.name)):
-            if bucket.current in eligible:
-                continue
-            target = min((loads[name], name) for name in eligible)[1]
-            loads[target] += 1
-            if self._state.owns(service.name, index):
-                moves.append(self.move(service.name, index, target))
         await asyncio.gather(*moves)
 
+    def _plan(self, service: Service) -> Iterator[PlannedMove]:
+        states = self._state.table.states(service.name)
+        buckets = [
+            BucketRow(
+                index,
+                bucket.current,
+                in_motion=bucket.through_owner,
+                base_domain=self._state.directory.domain_of(bucket.bases[0]),
+            )
+            for index, bucket in enumerate(states)
+        ]
+        upstreams = [
+            UpstreamRow(
+                one.name,
+                one.domain,
+                self._admission.weight(one),
+                is_eligible=self.is_eligible(one.name),
+            )
+            for one in service.upstreams
+        ]
+        yield from plan_moves(buckets, upstreams)
+
     def _rest_buckets(self, service: Service) -> None:
         for index, bucket in enumerate(self._state.table.states(service.name)):
             if bucket.at_rest or not self._state.owns(service.name, index):
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -4,6 +4,10 @@
 
 import abc
 
+from hibiscushatch_core.admission_messages import (
+    claims_from_message,
+    warmth_from_message,
+)
 from hibiscushatch_core.hashing import FLOW_KEY_BYTES
 from hibiscushatch_core.layout import Layout, unpack_indexes
 from hibiscushatch_core.messages import (
@@ -34,6 +38,10 @@
     def spread_member(self, name: str, *, without: str = '') -> None:
         """Send a VM's record to all peers but one."""
 
+    @abc.abstractmethod
+    def spread_warmth(self, upstream: str, *, without: str = '') -> None:
+        """Send an upstream's warmth record to all peers but one."""
+
 
 class PeerIntake:
     """Applies messages part by part."""
@@ -76,6 +84,7 @@
         self._take_table(session, message)
         for entries in message.entries:
             self._take_entries(entries)
+        self._take_admission(session, message)
         self._answer_requests(session, message)
         self._compare_digests(session, message)
         if message.table_done:
@@ -84,6 +93,24 @@
             session.outbox.acknowledge = True
             session.wake()
 
+    def _take_admission(
+        self, session: PeerSession, message: PeerMessage
+    ) -> None:
+        now_s = self._state.now()
+        for name in message.claim_members:
+            self._admission.ledger.join(name, now_s)
+        if message.claims is not None:
+            claims = claims_from_message(session.name, message.claims)
+            self._admission.ledger.receive(claims, now_s)
+            self._admission.ledger.refresh(now_s)
+            if self._admission.ledger.has_news_for(session.name):
+                session.wake()
+        for record in message.warmth:
+            if self._admission.warmth.receive(
+                warmth_from_message(record), now_s
+            ):
+                self._spreader.spread_warmth(record.u, without=session.name)
+
     def _take_members(self, session: PeerSession, message: PeerMessage) -> None:
         membership = self._state.membership
         for record in message.members:
--- a/packages/node/src/hibiscushatch_node/peer_outflow.py
+++ b/packages/node/src/hibiscushatch_node/peer_outflow.py
@@ -3,19 +3,26 @@
 import collections
 from collections.abc import Iterator
 
+from hibiscushatch_core.admission_messages import (
+    claims_to_message,
+    warmth_to_message,
+)
 from hibiscushatch_core.hashing import FLOW_KEY_BYTES
 from hibiscushatch_core.layout import Layout, pack_indexes
 from hibiscushatch_core.manifest import Upstream
 from hibiscushatch_core.messages import (
     BucketMessage,
+    ClaimsMessage,
     DepartedMessage,
     EntriesMessage,
     LayoutMessage,
     MemberMessage,
     PeerMessage,
     ServiceDigest,
+    WarmthMessage,
     bucket_to_message,
 )
+from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.membership import member_to_message
 from hibiscushatch_node.node_state import NodeState
@@ -27,8 +34,9 @@
 class PeerOutflow:
     """Turns outboxes into messages."""
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(self, state: NodeState, admission: Admission) -> None:
         self._state = state
+        self._admission = admission
 
     def greet(self, session: PeerSession) -> None:
         """Put into the outbox what a new peer must know.
@@ -38,6 +46,8 @@
         """
         membership = self._state.membership
         session.outbox.members.update(one.name for one in membership.records)
+        records = self._admission.warmth.records(self._state.now())
+        session.outbox.warmth.update(one.upstream for one in records)
 
     def add_entry(
         self, session: PeerSession, service: str, index: int, key: int
@@ -112,7 +122,9 @@
             members=tuple(self._members(outbox)),
             buckets=tuple(self._buckets(picked)),
             entries=tuple(outbox.entries),
-            claims=tuple(outbox.claims.values()),
+            claims=self._claims(session),
+            claim_members=self._claim_members(outbox),
+            warmth=tuple(self._warmth(outbox)),
             departed=tuple(self._departed(outbox)),
             layouts=tuple(self._layouts(outbox)),
             want_manifest=outbox.want_manifest,
@@ -122,6 +134,26 @@
             manifest=self._manifest(outbox),
         )
 
+    def _claims(self, session: PeerSession) -> ClaimsMessage | None:
+        ledger = self._admission.ledger
+        if session.name not in ledger.member_names:
+            return None
+        if not ledger.has_news_for(session.name):
+            return None
+        return claims_to_message(ledger.message_for(session.name))
+
+    def _claim_members(self, outbox: Outbox) -> tuple[str, ...]:
+        if not outbox.table_done:
+            return ()
+        return tuple(sorted(self._admission.ledger.member_names))
+
+    def _warmth(self, outbox: Outbox) -> Iterator[WarmthMessage]:
+        records = self._admission.warmth.records(
+            self._state.now(), sorted(outbox.warmth)
+        )
+        for record in records:
+            yield warmth_to_message(record)
+
     def _members(self, outbox: Outbox) -> Iterator[MemberMessage]:
         for name in sorted(outbox.members):
             member = self._state.membership.find(name)
--- a/packages/node/src/hibiscushatch_node/peer_session.py
+++ b/packages/node/src/hibiscushatch_node/peer_session.py
@@ -10,7 +10,6 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.messages import (
-    ClaimMessage,
     EntriesMessage,
     PeerMessage,
     encode_message,
@@ -27,7 +26,7 @@
         buckets: Service and index of the buckets that changed.
         layouts: Services whose first assignment the peer asked for.
         entries: Flow entries for this peer alone.
-        claims: Claims by upstream.
+        warmth: Names of the upstreams whose warmth changed.
         want_manifest: Ask for its manifest.
         want_table: Ask for the bucket states that differ.
         send_manifest: Send the manifest in force.
@@ -39,7 +38,7 @@
     buckets: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     layouts: set[str] = dataclasses.field(default_factory=set)
     entries: list[EntriesMessage] = dataclasses.field(default_factory=list)
-    claims: dict[str, ClaimMessage] = dataclasses.field(default_factory=dict)
+    warmth: set[str] = dataclasses.field(default_factory=set)
     want_manifest: bool = False
     want_table: bool = False
     send_manifest: bool = False
@@ -64,6 +63,7 @@
         self.outbox = Outbox()
         self.heard_at_s = 0.0
         self.mismatches = 0
+        self.is_counted = False
 
     @property
     def next_number(self) -> int:
--- a/packages/node/src/hibiscushatch_node/peers.py
+++ b/packages/node/src/hibiscushatch_node/peers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
 
 import pydantic
 
@@ -14,6 +15,7 @@
 from hibiscushatch_core.messages import PeerMessage
 from hibiscushatch_core.ports import PeerChannel
 from hibiscushatch_core.reasons import RetryReason
+from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.membership import Member
 from hibiscushatch_node.mover import BucketPublisher
 from hibiscushatch_node.node_state import NodeState
@@ -67,10 +69,9 @@
             index: Number of the bucket.
             without: Name of the peer that has it already.
         """
-        for session in self.sessions:
-            if session.name != without:
-                session.outbox.buckets.add((service, index))
-                session.wake()
+        for session in self._flood_sessions(without):
+            session.outbox.buckets.add((service, index))
+            session.wake()
 
     def spread_member(self, name: str, *, without: str = '') -> None:
         """Send a VM's record to all peers but one.
@@ -79,9 +80,34 @@
             name: Whose record.
             without: Name of the peer that has it already.
         """
+        for session in self._flood_sessions(without):
+            session.outbox.members.add(name)
+            session.wake()
+
+    def spread_warmth(self, upstream: str, *, without: str = '') -> None:
+        """Send an upstream's warmth record to all peers but one.
+
+        Args:
+            upstream: Name of the upstream.
+            without: Name of the peer that has it already.
+        """
+        for session in self._flood_sessions(without):
+            session.outbox.warmth.add(upstream)
+            session.wake()
+
+    def publish_admission(self, admission: Admission) -> None:
+        """Tell peers of changed claims, warmth and dead upstreams.
+
+        Args:
+            admission: What this VM knows of upstreams.
+        """
+        for record in admission.warmth.changed_records(self._state.now()):
+            self.spread_warmth(record.upstream)
+        if self._state.membership.update_own(dead=admission.dead_upstreams()):
+            self.spread_member(self._state.name)
         for session in self.sessions:
-            if session.name != without:
-                session.outbox.members.add(name)
+            known = session.name in admission.ledger.member_names
+            if known and admission.ledger.has_news_for(session.name):
                 session.wake()
 
     async def wait_acknowledged(self, deadline_s: float) -> None:
@@ -116,6 +142,7 @@
         while True:
             self._dial_missing()
             self._judge_silence()
+            self._update_hears()
             await asyncio.sleep(SUPERVISE_INTERVAL_S)
 
     async def stop(self) -> None:
@@ -127,6 +154,12 @@
             await session.close()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _flood_sessions(self, without: str) -> Iterator[PeerSession]:
+        flood_names = self._state.membership.flood_names()
+        for session in self.sessions:
+            if session.name != without and session.name in flood_names:
+                yield session
+
     def _dial_missing(self) -> None:
         membership = self._state.membership
         for name in membership.link_names():
@@ -208,7 +241,8 @@
         session.heard_at_s = self._state.now()
         self._heard_at_s[session.name] = session.heard_at_s
         self._intake.take(session, message)
-        if session.name not in self._state.membership.own.hears:
+        if not session.is_counted:
+            session.is_counted = True
             self._update_hears()
 
     async def _send_messages(self, session: PeerSession) -> None:
@@ -220,8 +254,11 @@
             await session.close()
 
     def _update_hears(self) -> None:
+        flood_names = self._state.membership.flood_names()
         hears = frozenset(
-            session.name for session in self.sessions if session.heard_at_s
+            session.name
+            for session in self.sessions
+            if session.heard_at_s and session.name in flood_names
         )
         if self._state.membership.update_own(hears=hears):
             self.spread_member(self._state.name)
--- a/packages/node/src/hibiscushatch_node/reporting.py
+++ b/packages/node/src/hibiscushatch_node/reporting.py
@@ -112,6 +112,6 @@
             accepts_new_flows=state.manifest.accepts_new_flows(upstream.name),
             buckets=loads[upstream.name],
             open_flows=admission.open_flows(upstream.name),
-            share=upstream.connections,
-            phase='warm',
+            share=admission.share(upstream.name),
+            phase='warm' if admission.is_warm(upstream) else 'cold',
         )
