Add stand-ins of callers and upstreams and a fabric in memory

Cause: the decisions are proved at the ends of flows, so the ends must judge. Change: seeded TCP and UDP callers, an upstream with slots, cold start, shedding and mute, a spraying fabric, a network with cuts and one-way loss, and a loop whose callbacks belong to hosts that can be frozen or killed. There was nothing to measure before.

--- /dev/null
+++ b/packages/tools/tests/fabric_test.py
@@ -0,0 +1,36 @@
+"""Tests of hibiscushatch_tools.fabric."""
+
+import asyncio
+
+import standins_fixtures
+
+from hibiscushatch_tools import host_loop
+from hibiscushatch_tools.callers import FlowOutcome
+
+
+async def _packets_to_a_dead_vm_are_lost_until_the_list_is_new() -> None:
+    with standins_fixtures.small_tier() as tier:
+        tier.hosts[0].kill()
+        tier.open_flows(20)
+        await asyncio.sleep(1)
+        assert FlowOutcome.FINISHED not in tier.count_outcomes()
+        tier.fabric.refresh((standins_fixtures.DOMAIN,))
+        await asyncio.sleep(60)
+        assert tier.count_outcomes() == {FlowOutcome.FINISHED: 20}
+
+
+async def _replies_keep_to_the_reachable_side_of_a_cut() -> None:
+    with standins_fixtures.small_tier() as tier:
+        tier.network.cut(standins_fixtures.DOMAIN, standins_fixtures.DOMAIN)
+        tier.fabric.refresh((standins_fixtures.DOMAIN,))
+        place = next(iter(tier.fabric.members)).host
+        tier.fabric.spray_from_upstream(place, '10.2.0.1', b'')
+        assert tier.fabric.unserved == 1
+
+
+def test_spraying_through_faults() -> None:
+    for case in (
+        _packets_to_a_dead_vm_are_lost_until_the_list_is_new,
+        _replies_keep_to_the_reachable_side_of_a_cut,
+    ):
+        host_loop.run_on_hosts(case())
--- /dev/null
+++ b/packages/tools/tests/standins_fixtures.py
@@ -0,0 +1,139 @@
+"""Fixtures for the tests of the stand-ins: a tier of the simplest kind."""
+
+import contextlib
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from hibiscushatch_core import packets
+from hibiscushatch_tools.callers import Callers, FlowPlan
+from hibiscushatch_tools.fabric import (
+    FabricMember,
+    MemoryFabric,
+    MemoryPacketSender,
+    UpstreamEnd,
+)
+from hibiscushatch_tools.host_loop import Host
+from hibiscushatch_tools.memory_network import (
+    MemoryNetwork,
+    NetworkSettings,
+    Place,
+)
+from hibiscushatch_tools.payload_ledger import PayloadLedger
+from hibiscushatch_tools.upstream_standin import UpstreamPlan, UpstreamStandIn
+
+SERVICE = (0x0A000001, 443, packets.TCP)
+TARGET = ('10.2.0.1', 6635)
+FABRIC = '10.3.0.1'
+DOMAIN = 'pos-a'
+UPSTREAM = UpstreamPlan(
+    name='booking-1',
+    domain=DOMAIN,
+    address=TARGET[0],
+    service=SERVICE,
+    service_id=1,
+    slots=3,
+    connections=100,
+    cold_allowance=20,
+    warm_up_s=5,
+    work_s=0.01,
+)
+FLOW = FlowPlan(
+    flow_id=1,
+    service_name='booking',
+    service_id=1,
+    service=SERVICE[:2],
+    caller=(0x0A090001, 40000),
+    protocol=packets.TCP,
+    requests=4,
+    gap_s=0.5,
+    request_segments=2,
+    answer_segments=3,
+)
+NETWORK = NetworkSettings()
+
+
+class _Report:
+    ready = True
+
+
+class OneUpstreamVm:
+    """Sends all of the callers' packets to one upstream."""
+
+    def __init__(self, sender: MemoryPacketSender) -> None:
+        self._sender = sender
+
+    def handle_edge(self, packet: bytes, sender_address: str) -> None:
+        """Pass on a packet by where it came from."""
+        if sender_address == FABRIC:
+            self._sender.send_to_upstream(packet, TARGET)
+        else:
+            self._sender.send_to_caller(packet)
+
+    def handle_relay(self, datagram: bytes, sender_address: str) -> None:
+        """Pass on a packet of another entry VM."""
+        self.handle_edge(datagram, FABRIC)
+
+    def report(self) -> _Report:
+        """Say that it is ready."""
+        return _Report()
+
+
+@dataclasses.dataclass
+class SmallTier:
+    """Callers, three entry VMs and one upstream."""
+
+    network: MemoryNetwork
+    fabric: MemoryFabric
+    callers: Callers
+    upstream: UpstreamStandIn
+    ledger: PayloadLedger
+    hosts: list[Host]
+
+    def open_flows(self, count: int, **changes: int) -> None:
+        """Open some flows like FLOW."""
+        first = len(self.callers.records)
+        for number in range(first, first + count):
+            caller = (FLOW.caller[0], FLOW.caller[1] + number)
+            self.callers.open(
+                dataclasses.replace(
+                    FLOW, flow_id=number + 1, caller=caller, **changes
+                )
+            )
+
+    def count_outcomes(self) -> dict[str, int]:
+        """Count the flows by how they ended."""
+        counts: dict[str, int] = {}
+        for record in self.callers.records:
+            counts[record.outcome] = counts.get(record.outcome, 0) + 1
+        return counts
+
+
+@contextlib.contextmanager
+def small_tier(
+    plan: UpstreamPlan = UPSTREAM,
+    settings: NetworkSettings = NETWORK,
+) -> Iterator[SmallTier]:
+    """Build a tier of three entry VMs before one upstream."""
+    network = MemoryNetwork(settings, random.Random(1))
+    ledger = PayloadLedger()
+    place = Place(plan.name, plan.domain)
+    callers = Callers(
+        random.Random(2), lambda packet: fabric.spray_from_caller(packet)
+    )
+    fabric = MemoryFabric(network, random.Random(3), FABRIC, callers.receive)
+    upstream = UpstreamStandIn(
+        plan,
+        ledger,
+        random.Random(4),
+        lambda packet: fabric.spray_from_upstream(place, TARGET[0], packet),
+    )
+    fabric.add_upstream(TARGET, UpstreamEnd(place, upstream))
+    hosts = [Host(f'entry-{number}', DOMAIN) for number in (1, 2, 3)]
+    for number, host in enumerate(hosts):
+        relay = (f'10.1.0.{number}', 6636)
+        sender = MemoryPacketSender(fabric, host, relay)
+        vm = OneUpstreamVm(sender)
+        fabric.add_member(FabricMember(host, vm, relay[0], relay))
+    fabric.refresh((DOMAIN,))
+    yield SmallTier(network, fabric, callers, upstream, ledger, hosts)
--- /dev/null
+++ b/packages/tools/tests/upstream_standin_test.py
@@ -0,0 +1,64 @@
+"""Tests of hibiscushatch_tools.upstream_standin."""
+
+import asyncio
+
+import standins_fixtures
+
+from hibiscushatch_core import packets
+from hibiscushatch_tools import segments
+from hibiscushatch_tools.callers import FlowOutcome
+
+COLD = standins_fixtures.UPSTREAM.cold_allowance
+LONG_REQUESTS = 100
+
+
+async def test_sheds_above_the_cold_allowance_until_warm() -> None:
+    with standins_fixtures.small_tier() as tier:
+        tier.open_flows(COLD + 5, requests=LONG_REQUESTS)
+        await asyncio.sleep(4)
+        assert tier.count_outcomes()[FlowOutcome.REFUSED] == 5
+        assert tier.upstream.totals.peak_cold_open == COLD + 1
+        await asyncio.sleep(2)
+        assert tier.upstream.is_warm
+        tier.open_flows(COLD, requests=LONG_REQUESTS)
+        await asyncio.sleep(1)
+        assert tier.upstream.open_flows == 2 * COLD
+
+
+async def test_turns_cold_silently_and_keeps_its_flows() -> None:
+    with standins_fixtures.small_tier() as tier:
+        tier.open_flows(COLD, requests=20)
+        await asyncio.sleep(6)
+        tier.upstream.go_cold_silently()
+        tier.open_flows(COLD + 3, requests=20)
+        await asyncio.sleep(30)
+        outcomes = tier.count_outcomes()
+        assert outcomes[FlowOutcome.REFUSED] == 3
+        assert outcomes[FlowOutcome.FINISHED] == 2 * COLD
+        assert tier.upstream.totals.silent_cold_overloads == 3
+        assert tier.upstream.totals.peak_cold_open <= COLD
+
+
+async def test_counts_packets_of_other_services_and_unknown_flows() -> None:
+    with standins_fixtures.small_tier() as tier:
+        address, port, protocol = standins_fixtures.SERVICE
+        stray = segments.Segment(
+            protocol, 1, address, 2, port, flags=packets.TCP_ACK
+        )
+        other = stray._replace(destination=address + 1)
+        tier.upstream.receive(segments.build_segment(stray))
+        tier.upstream.receive(segments.build_segment(other))
+        assert tier.upstream.totals.unknown_flows == 1
+        assert tier.upstream.totals.misdelivered == 1
+
+
+async def test_runs_a_repeated_request_once_and_answers_again() -> None:
+    with standins_fixtures.small_tier() as tier:
+        tier.open_flows(1, requests=1)
+        await asyncio.sleep(0.1)
+        tier.fabric.refresh(())
+        await asyncio.sleep(3)
+        tier.fabric.refresh((standins_fixtures.DOMAIN,))
+        await asyncio.sleep(30)
+        assert tier.count_outcomes() == {FlowOutcome.FINISHED: 1}
+        assert tier.ledger.runs.total() == 1
