--- a/packages/tools/src/hibiscushatch_tools/fabric.py
+++ b/packages/tools/src/hibiscushatch_tools/fabric.py
@@ -34,6 +34,16 @@
     edge: str
     relay: tuple[str, int]
 
+    @property
+    def name(self) -> str:
+        """Name of the entry VM."""
+        return self.host.name
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it is neither dead nor paused."""
+        return self.host.running
+
     @property
     def is_healthy(self) -> bool:
         """Whether a health check finds it alive and ready."""
