--- a/packages/tools/src/hibiscushatch_tools/host_loop.py
+++ b/packages/tools/src/hibiscushatch_tools/host_loop.py
@@ -70,7 +70,6 @@
     def kill(self) -> None:
         """Stop it for good, without a word to anybody."""
         self.alive = False
-        self._held.clear()
 
     def freeze(self) -> None:
         """Pause it."""
@@ -79,21 +78,17 @@
     def thaw(self) -> None:
         """Resume it: what came due meanwhile runs now, in order."""
         self.frozen = False
-        held = self._held
-        self._held = []
-        loop = asyncio.get_running_loop()
-        for call in held:
-            loop.call_soon(call.resume, context=self.context)
+        self._release()
 
     def end(self) -> None:
         """Let its tasks be cancelled at the end of the run."""
         self.alive = False
         self.ending = True
+        self._release()
 
     def hold(self, call: _GatedCall) -> None:
-        """Keep a callback until the host is thawed; drop it when killed."""
-        if self.alive:
-            self._held.append(call)
+        """Keep a callback until the host is thawed or the run ends."""
+        self._held.append(call)
 
     def start(
         self, work: Coroutine[Any, Any, ResultT]
@@ -102,6 +97,13 @@
         loop = asyncio.get_running_loop()
         return loop.create_task(work, context=self.context)
 
+    def _release(self) -> None:
+        held = self._held
+        self._held = []
+        loop = asyncio.get_running_loop()
+        for call in held:
+            loop.call_soon(call.resume, context=self.context)
+
 
 _current_host: contextvars.ContextVar[Host | None] = contextvars.ContextVar(
     'current_host', default=None
--- a/packages/tools/src/hibiscushatch_tools/scenario_figures.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_figures.py
@@ -18,6 +18,7 @@
 
 MILLISECONDS = 1000
 NEVER = -1.0
+FAILURES_SHOWN = 5
 
 
 def compute_outcome(
@@ -91,6 +92,7 @@
         drops_by_reason=_add_up(one.drops for one in counters),
         retries_by_reason=_add_up(one.retries for one in counters),
         failed_tasks=len(stage.history.failures),
+        failures=tuple(stage.history.failures[:FAILURES_SHOWN]),
     )
 
 
--- a/packages/tools/src/hibiscushatch_tools/scenario_outcome.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_outcome.py
@@ -50,7 +50,9 @@
         refused_by_reason: Refusals by the entry VMs' reasons.
         drops_by_reason: Drops by the entry VMs' reasons.
         retries_by_reason: Retries by the entry VMs' reasons.
-        failed_tasks: Tasks of entry VMs that ended with an exception.
+        failed_tasks: Exceptions that left tasks and callbacks of entry VMs,
+            and events that could not be played.
+        failures: The first of them in words.
     """
 
     flows: int
@@ -85,6 +87,7 @@
     drops_by_reason: dict[str, int]
     retries_by_reason: dict[str, int]
     failed_tasks: int
+    failures: tuple[str, ...]
 
 
 FIGURES = tuple(
