--- a/packages/core/src/hibiscushatch_core/errors.py
+++ b/packages/core/src/hibiscushatch_core/errors.py
@@ -56,6 +56,10 @@
     """The platform gave no answer; a write may have taken effect."""
 
 
+class LeaseLapsedError(PlatformUnavailableError):
+    """The lease of a write has lapsed; nothing was written."""
+
+
 class CommitConflictError(PlatformError):
     """Another operator's manifest was committed first."""
 
--- a/packages/core/src/hibiscushatch_core/ports.py
+++ b/packages/core/src/hibiscushatch_core/ports.py
@@ -72,7 +72,11 @@
 
     @abc.abstractmethod
     def watch_prefix(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        """Yield the changes of keys with a prefix until the watch breaks."""
+        """Yield the keys with a prefix as they are, then their changes.
+
+        Ends only by raising: PlatformUnavailableError when the watch breaks
+        or stays silent beyond its deadline.
+        """
 
     @abc.abstractmethod
     async def grant_lease(self, ttl_s: float) -> int:
--- a/packages/core/src/hibiscushatch_core/settings.py
+++ b/packages/core/src/hibiscushatch_core/settings.py
@@ -40,12 +40,15 @@
 class PlatformSettings(StrictModel):
     """Where the platform's key-value service answers.
 
-    ``key_prefix`` leads every key that hibiscushatch reads or writes.
+    ``key_prefix`` leads every key that hibiscushatch reads or writes. A watch
+    that brings neither a change nor a progress message for ``watch_silent_s``
+    is ended as broken.
     """
 
     endpoints: Annotated[list[str], pydantic.Field(min_length=1)]
     key_prefix: str = '/hibiscushatch/'
     call_timeout_s: Interval = 2.0
+    watch_silent_s: Interval = 10.0
     retry_min_s: Interval = 0.5
     retry_max_s: Interval = 15.0
     registration_ttl_s: Interval = 30.0
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of the core's ports over real sockets."""
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/adapters/etcd.py
@@ -0,0 +1,390 @@
+"""The platform's key-value service over the etcd v3 JSON gateway.
+
+Each call has a deadline. A read, or a write that never reached its endpoint,
+moves on to the next endpoint; a write that may have taken effect never does.
+"""
+
+import asyncio
+import dataclasses
+import http
+import math
+from collections.abc import AsyncIterator
+from typing import Generic, TypeVar
+
+import aiohttp
+import pydantic
+
+from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.errors import (
+    LeaseLapsedError,
+    PlatformUnavailableError,
+)
+from hibiscushatch_core.ports import Platform, StoredValue, WatchEvent
+from hibiscushatch_core.reasons import RetryReason
+from hibiscushatch_core.settings import PlatformSettings
+from hibiscushatch_node.adapters import etcd_messages as messages
+
+_WATCH_BREAKS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    PlatformUnavailableError,
+)
+AnswerT = TypeVar('AnswerT', bound=messages.GatewayMessage)
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+_CLIENT_ERRORS = range(
+    http.HTTPStatus.BAD_REQUEST, http.HTTPStatus.INTERNAL_SERVER_ERROR
+)
+
+
+class _EndpointError(PlatformUnavailableError):
+    """One endpoint did not answer as it should.
+
+    Args:
+        call: What was asked.
+        endpoint: The endpoint.
+        reason: What went wrong.
+        may_have_run: Whether the endpoint may have done what was asked.
+        status: HTTP status of its answer; 0 when there was none.
+    """
+
+    def __init__(
+        self,
+        call: '_Call',
+        endpoint: str,
+        reason: str,
+        may_have_run: bool = True,
+        status: int = 0,
+    ) -> None:
+        self.may_have_run = may_have_run
+        self.status = status
+        super().__init__(call.step, endpoint, reason)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call(Generic[AnswerT]):
+    """A call of the gateway.
+
+    Attributes:
+        step: What it does, for errors.
+        path: Path of its URL.
+        request: The message to send.
+        answer_model: The message to expect.
+        repeatable: Whether running it twice does no harm.
+    """
+
+    step: str
+    path: str
+    request: messages.GatewayMessage
+    answer_model: type[AnswerT]
+    repeatable: bool = False
+
+
+class EtcdPlatform(Platform):
+    """Client of the gateway at one or more endpoints.
+
+    Args:
+        settings: Endpoints and deadlines.
+        counters: Counts each call.
+    """
+
+    def __init__(self, settings: PlatformSettings, counters: Counters) -> None:
+        self._settings = settings
+        self._counters = counters
+        self._endpoint_index = 0
+        self._open_session: aiohttp.ClientSession | None = None
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key."""
+        answer = await self._ask(_range_call('read key', key.encode()))
+        return next((_stored_value(one) for one in answer.kvs), None)
+
+    async def list_prefix(self, prefix: str) -> tuple[StoredValue, ...]:
+        """Read all keys with a prefix."""
+        answer = await self._ask(_prefix_call('list keys', prefix))
+        return tuple(_stored_value(one) for one in answer.kvs)
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes
+    ) -> bool:
+        """Write a key if its mod_revision is as expected; 0 means absent."""
+        compare = messages.Compare(
+            key=key.encode(),
+            target='MOD',
+            result='EQUAL',
+            mod_revision=expected_revision,
+        )
+        write = messages.PutRequest(key=key.encode(), value=value)
+        request = messages.TxnRequest(
+            compare=(compare,),
+            success=(messages.RequestOp(request_put=write),),
+        )
+        answer = await self._ask(
+            _Call(
+                'compare and swap',
+                messages.TXN_PATH,
+                request,
+                messages.TxnResponse,
+            )
+        )
+        return answer.succeeded
+
+    async def watch_prefix(self, prefix: str) -> AsyncIterator[WatchEvent]:
+        """Yield the keys with a prefix as they are, then their changes."""
+        current = await self._ask(_prefix_call('read watched keys', prefix))
+        for stored in current.kvs:
+            yield WatchEvent(
+                stored.key.decode(), stored.value, stored.mod_revision
+            )
+        next_revision = current.header.revision + 1
+        async for answer in self._watch(_watch_call(prefix, next_revision)):
+            for event in answer.events:
+                yield _watch_event(event)
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Ask for a lease and return its identifier."""
+        answer = await self._ask(
+            _Call(
+                'grant lease',
+                messages.LEASE_GRANT_PATH,
+                messages.LeaseGrantRequest(TTL=math.ceil(ttl_s)),
+                messages.LeaseGrantResponse,
+            )
+        )
+        return answer.ID
+
+    async def keep_lease_alive(self, lease_id: int) -> bool:
+        """Renew a lease; False when it has lapsed."""
+        answer = await self._ask(
+            _Call(
+                'renew lease',
+                messages.LEASE_KEEP_ALIVE_PATH,
+                messages.LeaseRequest(ID=lease_id),
+                messages.LeaseKeepAliveMessage,
+                repeatable=True,
+            )
+        )
+        return answer.result.TTL > 0
+
+    async def put_with_lease(
+        self, key: str, value: bytes, lease_id: int
+    ) -> None:
+        """Write a key that vanishes when the lease lapses."""
+        request = messages.PutRequest(
+            key=key.encode(), value=value, lease=lease_id
+        )
+        call = _Call(
+            'write key', messages.PUT_PATH, request, messages.PutResponse
+        )
+        try:
+            await self._ask(call)
+        except _EndpointError as error:
+            if error.status == http.HTTPStatus.NOT_FOUND:
+                raise LeaseLapsedError(
+                    call.step, error.peer, error.reason
+                ) from error
+            raise
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys."""
+        call = _Call(
+            'revoke lease',
+            messages.LEASE_REVOKE_PATH,
+            messages.LeaseRequest(ID=lease_id),
+            messages.LeaseRevokeResponse,
+            repeatable=True,
+        )
+        try:
+            await self._ask(call)
+        except _EndpointError as error:
+            if error.status != http.HTTPStatus.NOT_FOUND:
+                raise
+
+    async def close(self) -> None:
+        """Release connections."""
+        if self._open_session is not None:
+            await self._open_session.close()
+            self._open_session = None
+
+    @property
+    def _endpoint(self) -> str:
+        return self._settings.endpoints[self._endpoint_index]
+
+    @property
+    def _connect_timeout_s(self) -> float:
+        return self._settings.call_timeout_s / len(self._settings.endpoints)
+
+    def _session(self) -> aiohttp.ClientSession:
+        if self._open_session is None:
+            self._open_session = aiohttp.ClientSession()
+        return self._open_session
+
+    def _leave_endpoint(self, endpoint: str) -> None:
+        if endpoint == self._endpoint:
+            next_index = self._endpoint_index + 1
+            self._endpoint_index = next_index % len(self._settings.endpoints)
+
+    async def _ask(self, call: _Call[AnswerT]) -> AnswerT:
+        timeout_s = self._settings.call_timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._ask_endpoints(call)
+        except TimeoutError as error:
+            endpoint = self._endpoint
+            self._leave_endpoint(endpoint)
+            raise PlatformUnavailableError(
+                call.step, endpoint, f'no answer within {timeout_s} s'
+            ) from error
+
+    async def _ask_endpoints(self, call: _Call[AnswerT]) -> AnswerT:
+        attempts_left = len(self._settings.endpoints)
+        while True:
+            attempts_left -= 1
+            try:
+                return await self._ask_endpoint(call)
+            except _EndpointError as error:
+                if not (attempts_left and _may_ask_again(call, error)):
+                    raise
+            self._counters.retries[RetryReason.PLATFORM_UNAVAILABLE] += 1
+
+    async def _ask_endpoint(self, call: _Call[AnswerT]) -> AnswerT:
+        endpoint = self._endpoint
+        try:
+            text = await self._post(call, endpoint)
+        except (aiohttp.ClientError, OSError) as error:
+            self._leave_endpoint(endpoint)
+            raise _EndpointError(
+                call,
+                endpoint,
+                str(error) or type(error).__name__,
+                may_have_run=not isinstance(error, _NOT_SENT),
+            ) from error
+        except _EndpointError as error:
+            if error.status not in _CLIENT_ERRORS:
+                self._leave_endpoint(endpoint)
+            raise
+        return _parse(call, endpoint, text)
+
+    async def _post(self, call: _Call[AnswerT], endpoint: str) -> bytes:
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self._connect_timeout_s
+        )
+        self._counters.platform_calls += 1
+        async with self._session().post(
+            endpoint + call.path, data=call.request.encode(), timeout=timeout
+        ) as response:
+            _check_status(call, endpoint, response.status)
+            return await response.read()
+
+    async def _watch(
+        self, call: _Call[messages.WatchMessage]
+    ) -> AsyncIterator[messages.WatchResponse]:
+        endpoint = self._endpoint
+        try:
+            async for line in self._watch_lines(call, endpoint):
+                answer = _parse(call, endpoint, line).result
+                if answer.canceled:
+                    raise _EndpointError(
+                        call, endpoint, 'the watch is canceled'
+                    )
+                yield answer
+        except (
+            aiohttp.ClientError,
+            OSError,
+            PlatformUnavailableError,
+        ) as error:
+            self._leave_endpoint(endpoint)
+            raise PlatformUnavailableError(
+                call.step, endpoint, str(error) or type(error).__name__
+            ) from error
+        self._leave_endpoint(endpoint)
+        raise PlatformUnavailableError(call.step, endpoint, 'the watch ended')
+
+    async def _watch_lines(
+        self, call: _Call[messages.WatchMessage], endpoint: str
+    ) -> AsyncIterator[bytes]:
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._connect_timeout_s,
+            sock_read=self._settings.watch_silent_s,
+        )
+        received = messages.LineBuffer()
+        self._counters.platform_calls += 1
+        async with self._session().post(
+            endpoint + call.path, data=call.request.encode(), timeout=timeout
+        ) as response:
+            _check_status(call, endpoint, response.status)
+            async for chunk in response.content.iter_any():
+                for line in received.feed(chunk):
+                    yield line
+
+
+def _range_call(
+    step: str, key: bytes, range_end: bytes = b''
+) -> _Call[messages.RangeResponse]:
+    request = messages.RangeRequest(key=key, range_end=range_end)
+    return _Call(
+        step,
+        messages.RANGE_PATH,
+        request,
+        messages.RangeResponse,
+        repeatable=True,
+    )
+
+
+def _prefix_call(step: str, prefix: str) -> _Call[messages.RangeResponse]:
+    key = prefix.encode()
+    return _range_call(step, key, messages.prefix_end(key))
+
+
+def _watch_call(
+    prefix: str, start_revision: int
+) -> _Call[messages.WatchMessage]:
+    key = prefix.encode()
+    create = messages.WatchCreateRequest(
+        key=key,
+        range_end=messages.prefix_end(key),
+        start_revision=start_revision,
+        progress_notify=True,
+    )
+    return _Call(
+        'watch keys',
+        messages.WATCH_PATH,
+        messages.WatchRequest(create_request=create),
+        messages.WatchMessage,
+    )
+
+
+def _may_ask_again(call: _Call, error: _EndpointError) -> bool:
+    if error.status in _CLIENT_ERRORS:
+        return False
+    return call.repeatable or not error.may_have_run
+
+
+def _check_status(call: _Call, endpoint: str, status: int) -> None:
+    if status != http.HTTPStatus.OK:
+        raise _EndpointError(
+            call, endpoint, f'HTTP status {status}', status=status
+        )
+
+
+def _parse(call: _Call[AnswerT], endpoint: str, text: bytes) -> AnswerT:
+    try:
+        return call.answer_model.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise _EndpointError(
+            call, endpoint, f'not an answer of the gateway: {error}'
+        ) from error
+
+
+def _stored_value(stored: messages.KeyValue) -> StoredValue:
+    return StoredValue(stored.key.decode(), stored.value, stored.mod_revision)
+
+
+def _watch_event(event: messages.GatewayEvent) -> WatchEvent:
+    deleted = event.type == 'DELETE'
+    return WatchEvent(
+        event.kv.key.decode(),
+        None if deleted else event.kv.value,
+        event.kv.mod_revision,
+    )
