Run scenarios on the merged entry VM and platform stand-in

Cause: the ports gained counters and an incarnation. Change: the stage passes both; errors that entry VMs log count as failures. Conclusion: the scenario files can be run.

--- a/packages/tools/src/hibiscushatch_tools/memory_stage.py
+++ b/packages/tools/src/hibiscushatch_tools/memory_stage.py
@@ -335,8 +335,9 @@
         self.fabric.add_upstream(site.target, UpstreamEnd(place, standin))
 
     def _stage_vm(self, host: Host, settings: NodeSettings) -> StagedVm:
+        counters = Counters()
         platform = MemoryPlatform(
-            self._store, self._platform_settings, Counters()
+            self._store, self._platform_settings, counters
         )
         platform.cut_off = host.domain in self._cut_from_platform
         ports = EntryVmPorts(
@@ -347,6 +348,8 @@
             ),
             clock=self._loop.time,
             randomness=self._draw_random(),
+            counters=counters,
+            incarnation=len(self.started) + 1,
         )
         member = FabricMember(
             host,
--- a/packages/tools/src/hibiscushatch_tools/scenario_runner.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_runner.py
@@ -3,7 +3,10 @@
 import asyncio
 import contextlib
 import dataclasses
+import logging
+import pathlib
 import random
+import traceback
 from collections.abc import AsyncIterator, Coroutine, Iterator
 from typing import Any
 
@@ -15,6 +18,7 @@
 from hibiscushatch_tools.memory_stage import MemoryStage, VmFactory
 from hibiscushatch_tools.scenario_events import Event
 from hibiscushatch_tools.scenario_figures import compute_outcome
+from hibiscushatch_tools.scenario_history import History
 from hibiscushatch_tools.scenario_model import (
     LoadSpec,
     Promise,
@@ -24,6 +28,7 @@
 from hibiscushatch_tools.scenario_observer import Observer
 from hibiscushatch_tools.scenario_outcome import ScenarioOutcome
 
+NODE_LOGGER = 'hibiscushatch_node'
 CALLER_NETWORK = 0x0A100000
 CALLER_BITS = 20
 CALLER_PORT_FIRST = 1024
@@ -84,13 +89,13 @@
     scenario: Scenario, seed: int, vm_factory: VmFactory
 ) -> ScenarioOutcome:
     stage = MemoryStage(scenario, seed, vm_factory)
-    _collect_failures(stage)
-    await stage.open()
     observer = Observer(scenario, stage)
-    async with _background(stage.refresh_fabric(), observer.run()):
-        await _play(scenario, stage, random.Random(seed))
-    outcome = compute_outcome(scenario, stage, observer)
-    await stage.close()
+    with _collected_failures(stage):
+        await stage.open()
+        async with _background(stage.refresh_fabric(), observer.run()):
+            await _play(scenario, stage, random.Random(seed))
+        outcome = compute_outcome(scenario, stage, observer)
+        await stage.close()
     return outcome
 
 
@@ -172,15 +177,45 @@
     return (int.from_bytes(bytes(octets), 'big'), service.port)
 
 
-def _collect_failures(stage: MemoryStage) -> None:
+@contextlib.contextmanager
+def _collected_failures(stage: MemoryStage) -> Iterator[None]:
     """Note the exceptions that tasks and callbacks of entry VMs raise."""
+    handler = _FailureHandler(stage.history, level=logging.ERROR)
+    logger = logging.getLogger(NODE_LOGGER)
+    logger.addHandler(handler)
     loop = asyncio.get_running_loop()
-
-    def note(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-        error = context.get('exception')
-        stage.history.failures.append(f'{context.get("message")}: {error!r}')
-
-    loop.set_exception_handler(note)
+    loop.set_exception_handler(handler.note)
+    try:
+        yield
+    finally:
+        loop.set_exception_handler(None)
+        logger.removeHandler(handler)
+
+
+class _FailureHandler(logging.Handler):
+    """Notes errors in the history of a run."""
+
+    def __init__(self, history: History, level: int) -> None:
+        super().__init__(level)
+        self._history = history
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Note an error that was logged."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._add(record.getMessage(), error)
+
+    def note(
+        self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Note an exception that reached the event loop."""
+        self._add(context['message'], context.get('exception'))
+
+    def _add(self, message: str, error: BaseException | None) -> None:
+        place = ''
+        if error is not None and error.__traceback__ is not None:
+            frame = traceback.extract_tb(error.__traceback__)[-1]
+            place = f' at {pathlib.Path(frame.filename).name}:{frame.lineno}'
+        self._history.failures.append(f'{message}: {error!r}{place}')
 
 
 @contextlib.asynccontextmanager
