--- a/packages/core/src/hibiscushatch_core/documents.py
+++ b/packages/core/src/hibiscushatch_core/documents.py
@@ -2,13 +2,24 @@
 
 import json
 import pathlib
+from collections.abc import Iterator
 from typing import TypeVar
 
 import pydantic
 
 from hibiscushatch_core.errors import FieldProblem, InvalidDocumentError
 
-ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
+ModelT = TypeVar('ModelT', bound='StrictModel')
+
+
+class ConflictsError(ValueError):
+    """Fields that are valid one by one do not go together."""
+
+    def __init__(self, problems: tuple[FieldProblem, ...]) -> None:
+        self.problems = problems
+        super().__init__(
+            '; '.join(f'{one.path}: {one.message}' for one in problems)
+        )
 
 
 class StrictModel(pydantic.BaseModel):
@@ -16,6 +27,18 @@
 
     model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
 
+    @classmethod
+    def conflicts(cls, values: object) -> Iterator[FieldProblem]:
+        """Find what is wrong across fields.
+
+        Args:
+            values: The document as JSON values; single fields may be wrong.
+
+        Returns:
+            One problem each; none unless a subclass finds them.
+        """
+        return iter(())
+
 
 def json_path(location: tuple[int | str, ...]) -> str:
     """Turn a pydantic error location into a JSON path.
@@ -50,13 +73,27 @@
     try:
         return model.model_validate_json(text)
     except pydantic.ValidationError as error:
-        problems = tuple(
-            FieldProblem(json_path(one['loc']), one['msg'])
-            for one in error.errors(include_url=False, include_context=False)
-        )
+        problems = (*_field_problems(error), *_conflicts_in(model, text))
         raise InvalidDocumentError(step, peer, problems) from error
 
 
+def _field_problems(error: pydantic.ValidationError) -> Iterator[FieldProblem]:
+    for one in error.errors(include_url=False):
+        cause = one.get('ctx', {}).get('error')
+        if not isinstance(cause, ConflictsError):
+            yield FieldProblem(json_path(one['loc']), one['msg'])
+
+
+def _conflicts_in(
+    model: type[StrictModel], text: str | bytes
+) -> Iterator[FieldProblem]:
+    try:
+        values = json.loads(text)
+    except ValueError:
+        return
+    yield from model.conflicts(values)
+
+
 def read_document(model: type[ModelT], path: pathlib.Path) -> ModelT:
     """Read and validate a JSON file.
 
--- a/packages/core/src/hibiscushatch_core/manifest_blob.py
+++ b/packages/core/src/hibiscushatch_core/manifest_blob.py
@@ -7,6 +7,7 @@
 import binascii
 import dataclasses
 import zlib
+from typing import Annotated
 
 import pydantic
 
@@ -16,6 +17,7 @@
 
 PLATFORM_VALUE_BYTES_MAX = 1024 * 1024
 MANIFEST_TEXT_BYTES_MAX = 32 * PLATFORM_VALUE_BYTES_MAX
+PREVIOUS_COMMIT_IDS_MAX = 16
 MANIFEST_KEY = 'manifest'
 VM_LIST_KEY = 'vms/'
 _STEP = 'decode manifest'
@@ -26,9 +28,14 @@
 
     ``commit_id`` is unique to one commit, so that an operator whose answer
     was lost can tell whether the stored manifest is the one sent.
+    ``previous_commit_ids`` names the commits that it was built on, the latest
+    first, so that this can be told after later commits too.
     """
 
     commit_id: str
+    previous_commit_ids: Annotated[
+        tuple[str, ...], pydantic.Field(max_length=PREVIOUS_COMMIT_IDS_MAX)
+    ] = ()
     generation: int
     compressed: pydantic.Base64Bytes
 
@@ -42,12 +49,18 @@
     blob: bytes
 
 
-def encode_manifest(document: ManifestDocument, commit_id: str) -> bytes:
+def encode_manifest(
+    document: ManifestDocument,
+    commit_id: str,
+    previous_commit_ids: tuple[str, ...] = (),
+) -> bytes:
     """Encode a manifest for the platform.
 
     Args:
         document: The manifest.
         commit_id: Unique id of the commit.
+        previous_commit_ids: Those of the commits before, the latest first;
+            no more than PREVIOUS_COMMIT_IDS_MAX are kept.
 
     Returns:
         The JSON value, at most PLATFORM_VALUE_BYTES_MAX bytes.
@@ -58,6 +71,7 @@
     text = document.model_dump_json(exclude_defaults=True)
     stored = {
         'commit_id': commit_id,
+        'previous_commit_ids': previous_commit_ids[:PREVIOUS_COMMIT_IDS_MAX],
         'generation': document.generation,
         'compressed': binascii.b2a_base64(
             zlib.compress(text.encode()), newline=False
--- a/packages/core/src/hibiscushatch_core/manifest_document.py
+++ b/packages/core/src/hibiscushatch_core/manifest_document.py
@@ -1,17 +1,18 @@
 """The manifest as operators' build pipelines write it: validated at the border.
 
 Checks that one field alone can't show (overlaps, unknown domains, sizes) are
-in ``find_conflicts`` so that all of them are reported in one pass.
+in manifest_conflicts.
 """
 
-import collections
 import ipaddress
 from collections.abc import Iterator
 from typing import Annotated, Literal, Self
 
 import pydantic
 
-from hibiscushatch_core.documents import StrictModel
+from hibiscushatch_core import manifest_conflicts
+from hibiscushatch_core.documents import ConflictsError, StrictModel
+from hibiscushatch_core.errors import FieldProblem
 
 Name = Annotated[
     str, pydantic.Field(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=63)
@@ -73,72 +74,14 @@
     ]
     services: Annotated[list[ServiceDocument], pydantic.Field(min_length=1)]
 
+    @classmethod
+    def conflicts(cls, values: object) -> Iterator[FieldProblem]:
+        """Find what is wrong across fields."""
+        return manifest_conflicts.find_conflicts(values)
+
     @pydantic.model_validator(mode='after')
     def _check_conflicts(self) -> Self:
-        conflicts = tuple(find_conflicts(self))
-        if conflicts:
-            raise ValueError('; '.join(conflicts))
+        problems = tuple(self.conflicts(self.model_dump(mode='json')))
+        if problems:
+            raise ConflictsError(problems)
         return self
-
-
-def find_conflicts(manifest: ManifestDocument) -> Iterator[str]:
-    """Find what is wrong across fields.
-
-    Args:
-        manifest: A document whose single fields are valid.
-
-    Yields:
-        One sentence a problem, each led by the JSON path of the field.
-    """
-    yield from _find_repeated_names(manifest)
-    yield from _find_service_overlaps(manifest)
-    yield from _find_upstream_problems(manifest)
-
-
-def _find_repeated_names(manifest: ManifestDocument) -> Iterator[str]:
-    domains = (domain.name for domain in manifest.failure_domains)
-    services = (service.name for service in manifest.services)
-    for field, names in (('failure_domains', domains), ('services', services)):
-        for name, count in collections.Counter(names).items():
-            if count > 1:
-                yield f'{field}: the name {name} appears {count} times'
-
-
-def _find_service_overlaps(manifest: ManifestDocument) -> Iterator[str]:
-    seen: dict[tuple[str, int, str], str] = {}
-    for index, service in enumerate(manifest.services):
-        key = (str(service.address), service.port, service.protocol)
-        if key in seen:
-            yield (
-                f'services[{index}].address: {service.address}:{service.port}'
-                f'/{service.protocol} is also that of {seen[key]}'
-            )
-        seen.setdefault(key, service.name)
-
-
-def _find_upstream_problems(manifest: ManifestDocument) -> Iterator[str]:
-    domains = {domain.name for domain in manifest.failure_domains}
-    service_addresses = {service.address for service in manifest.services}
-    names: dict[str, str] = {}
-    addresses: dict[ipaddress.IPv4Address, str] = {}
-    for service_index, service in enumerate(manifest.services):
-        for index, upstream in enumerate(service.upstreams):
-            path = f'services[{service_index}].upstreams[{index}]'
-            if upstream.name in names:
-                yield (
-                    f'{path}.name: {upstream.name} is also an upstream of '
-                    f'{names[upstream.name]}'
-                )
-            if upstream.address in addresses:
-                yield (
-                    f'{path}.address: {upstream.address} is also that of '
-                    f'{addresses[upstream.address]}'
-                )
-            if upstream.address in service_addresses:
-                yield f'{path}.address: {upstream.address} is a service address'
-            if upstream.domain not in domains:
-                yield f'{path}.domain: {upstream.domain} is not declared'
-            if upstream.cold_allowance > upstream.connections:
-                yield f'{path}.cold_allowance: is more than connections'
-            names.setdefault(upstream.name, service.name)
-            addresses.setdefault(upstream.address, upstream.name)
--- a/packages/core/tests/manifest_document_test.py
+++ b/packages/core/tests/manifest_document_test.py
@@ -40,3 +40,29 @@
     assert 'upstreams[1].address' in problems
     assert 'upstreams[1].domain' in problems
     assert 'upstreams[1].cold_allowance' in problems
+
+
+def test_reports_conflicts_and_wrong_fields_together() -> None:
+    fields = core_fixtures.manifest_fields()
+    upstreams = fields['services'][0]['upstreams']
+    upstreams.append(dict(upstreams[0]))
+    upstreams[1]['connections'] = 'many'
+    fields['services'].append(dict(fields['services'][0], upstreams=[7]))
+    try:
+        documents.parse_document(ManifestDocument, json.dumps(fields), 'test')
+    except InvalidDocumentError as error:
+        paths = [one.path for one in error.problems]
+    assert paths == [
+        'services[0].upstreams[1].connections',
+        'services[1].upstreams[0]',
+        'services[1].name',
+        'services[0].upstreams[2].name',
+        'services[0].upstreams[2].address',
+        'services[1].address',
+    ]
+
+
+def test_finds_conflicts_in_values_of_any_shape() -> None:
+    table = (None, [], {'services': 7}, {'services': [None, {'upstreams': 1}]})
+    for values in table:
+        assert not list(ManifestDocument.conflicts(values)), values
