Add the operators' command with its schemas and example manifests

Cause: operators had no way to check, commit and follow a manifest.

Change: hibiscushatch gets manifest check, diff, commit, status and wait, status, and schema. It finds entry VMs in the platform's list or by --vm, asks their admin API for reports and counters, and ends in a documented exit code for each kind of failure; wrong documents are refused with the JSON path of every problem.

--- /dev/null
+++ b/packages/ops/src/hibiscushatch_ops/main.py
@@ -0,0 +1,18 @@
+"""The operators' command ``hibiscushatch``."""
+
+import click
+
+from hibiscushatch_ops.console import EXIT_CODES_HELP, ErrorReportingGroup
+from hibiscushatch_ops.manifest_commands import manifest
+from hibiscushatch_ops.schema_command import schema
+from hibiscushatch_ops.status_command import status
+
+
+@click.group(cls=ErrorReportingGroup, epilog=EXIT_CODES_HELP)
+def main() -> None:
+    """Drive hibiscushatch by its manifest and see what it does."""
+
+
+main.add_command(manifest)
+main.add_command(status)
+main.add_command(schema)
