--- a/packages/core/src/hibiscushatch_core/manifest_conflicts.py
+++ b/packages/core/src/hibiscushatch_core/manifest_conflicts.py
@@ -2,11 +2,11 @@
 
 It reads the JSON values leniently, so that these problems are reported
 together with those of single fields; what a value should be but isn't is left
-to the models.
+to the models. Addresses are compared as texts, since a valid IPv4 address has
+one written form.
 """
 
 import dataclasses
-import ipaddress
 from collections.abc import Iterator
 from typing import Any
 
@@ -32,13 +32,6 @@
         found = self.fields.get(name, default)
         return found if isinstance(found, str) else ''
 
-    def address(self) -> str:
-        """Read the address in its usual form; empty when it is none."""
-        try:
-            return str(ipaddress.IPv4Address(self.text('address')))
-        except ipaddress.AddressValueError:
-            return ''
-
     def problem(self, field: str, message: str) -> FieldProblem:
         """Describe what is wrong with a field."""
         return FieldProblem(f'{self.path}.{field}', message)
@@ -83,7 +76,7 @@
 ) -> Iterator[FieldProblem]:
     seen: dict[str, _Item] = {}
     for item in items:
-        found = item.address() if field == 'address' else item.text(field)
+        found = item.text(field)
         if not found:
             continue
         first = seen.setdefault(found, item)
@@ -98,14 +91,15 @@
     for service in services:
         port = service.fields.get('port')
         protocol = service.text('protocol', 'tcp')
-        if not service.address() or not isinstance(port, int):
+        address = service.text('address')
+        if not address or not isinstance(port, int):
             continue
-        key = (service.address(), port, protocol)
+        key = (address, port, protocol)
         first = seen.setdefault(key, service)
         if first is not service:
             yield service.problem(
                 'address',
-                f'{key[0]}:{port}/{protocol} is also that of {first.path}',
+                f'{address}:{port}/{protocol} is also that of {first.path}',
             )
 
 
@@ -115,9 +109,9 @@
     upstreams: tuple[_Item, ...],
 ) -> Iterator[FieldProblem]:
     declared = {domain.text('name') for domain in domains}
-    callers_see = {service.address() for service in services} - {''}
+    callers_see = {service.text('address') for service in services} - {''}
     for upstream in upstreams:
-        address = upstream.address()
+        address = upstream.text('address')
         domain = upstream.text('domain')
         if address in callers_see:
             yield upstream.problem(
--- a/packages/node/src/hibiscushatch_node/adapters/etcd.py
+++ b/packages/node/src/hibiscushatch_node/adapters/etcd.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import http
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Generic, TypeVar
 
 import aiohttp
@@ -136,10 +137,11 @@
             yield WatchEvent(
                 stored.key.decode(), stored.value, stored.mod_revision
             )
-        next_revision = current.header.revision + 1
-        async for answer in self._watch(_watch_call(prefix, next_revision)):
-            for event in answer.events:
-                yield _watch_event(event)
+        call = _watch_call(prefix, current.header.revision + 1)
+        async with contextlib.aclosing(self._watch(call)) as answers:
+            async for answer in answers:
+                for event in answer.events:
+                    yield _watch_event(event)
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Ask for a lease and return its identifier."""
@@ -278,16 +280,13 @@
 
     async def _watch(
         self, call: _Call[messages.WatchMessage]
-    ) -> AsyncIterator[messages.WatchResponse]:
+    ) -> AsyncGenerator[messages.WatchResponse, None]:
         endpoint = self._endpoint
+        lines = self._watch_lines(call, endpoint)
         try:
-            async for line in self._watch_lines(call, endpoint):
-                answer = _parse(call, endpoint, line).result
-                if answer.canceled:
-                    raise _EndpointError(
-                        call, endpoint, 'the watch is canceled'
-                    )
-                yield answer
+            async with contextlib.aclosing(lines):
+                async for line in lines:
+                    yield _read_watch_answer(call, endpoint, line)
         except (
             aiohttp.ClientError,
             OSError,
@@ -302,7 +301,7 @@
 
     async def _watch_lines(
         self, call: _Call[messages.WatchMessage], endpoint: str
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=self._connect_timeout_s,
@@ -377,6 +376,15 @@
         ) from error
 
 
+def _read_watch_answer(
+    call: _Call[messages.WatchMessage], endpoint: str, line: bytes
+) -> messages.WatchResponse:
+    answer = _parse(call, endpoint, line).result
+    if answer.canceled:
+        raise _EndpointError(call, endpoint, 'the watch is canceled')
+    return answer
+
+
 def _stored_value(stored: messages.KeyValue) -> StoredValue:
     return StoredValue(stored.key.decode(), stored.value, stored.mod_revision)
 
--- a/packages/tools/src/hibiscushatch_tools/memory_platform.py
+++ b/packages/tools/src/hibiscushatch_tools/memory_platform.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable, Coroutine
 from functools import partial
 from typing import Any, TypeVar
@@ -75,9 +76,10 @@
             yield WatchEvent(one.key, one.value, one.mod_revision)
         self._counters.platform_calls += 1
         batches = self._store.watch(prefix, snapshot.revision + 1)
-        while True:
-            for event in await self._next_batch(batches):
-                yield event
+        async with contextlib.aclosing(batches):
+            while True:
+                for event in await self._next_batch(batches):
+                    yield event
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Ask for a lease and return its identifier."""
--- a/packages/tools/src/hibiscushatch_tools/platform_store.py
+++ b/packages/tools/src/hibiscushatch_tools/platform_store.py
@@ -7,7 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from typing import TypeVar
 
 from hibiscushatch_core.errors import HibiscushatchError
@@ -186,7 +186,7 @@
 
     async def watch(
         self, prefix: str, start_revision: int
-    ) -> AsyncIterator[tuple[WatchEvent, ...]]:
+    ) -> AsyncGenerator[tuple[WatchEvent, ...], None]:
         """Yield batches of changes from a revision on.
 
         Args:
