--- a/packages/core/src/hibiscushatch_core/messages.py
+++ b/packages/core/src/hibiscushatch_core/messages.py
@@ -10,7 +10,6 @@
 
 from hibiscushatch_core.buckets import BucketState, Stamp
 from hibiscushatch_core.documents import StrictModel
-from hibiscushatch_core.settings import SocketAddress
 
 MESSAGE_BYTES_MAX = 4 * 1024 * 1024
 
@@ -18,21 +17,23 @@
 class MemberMessage(StrictModel):
     """What an entry VM says of itself; others pass it on unchanged.
 
-    ``state`` is joining, serving or leaving; ``hears`` names the VMs whose
-    heartbeats it receives, ``dead`` the upstreams it judges dead; a higher
-    (incarnation, sequence) replaces a lower.
+    Name, failure domain, incarnation, sequence, state (joining, serving or
+    leaving), control and relay address as ``address:port``, generation in
+    force, names of the VMs whose heartbeats it receives, and names of the
+    upstreams that it judges dead. A higher (incarnation, sequence) replaces
+    a lower.
     """
 
-    name: str
-    domain: str
-    incarnation: int
-    sequence: int
-    state: str
-    control: SocketAddress
-    relay: SocketAddress
-    generation: int
-    hears: tuple[str, ...]
-    dead: tuple[str, ...] = ()
+    n: str
+    m: str
+    i: int
+    q: int
+    s: str
+    c: str
+    r: str
+    g: int = 0
+    h: tuple[str, ...] = ()
+    x: tuple[str, ...] = ()
 
 
 class StampMessage(StrictModel):
--- a/packages/node/src/hibiscushatch_node/bucket_table.py
+++ b/packages/node/src/hibiscushatch_node/bucket_table.py
@@ -6,6 +6,8 @@
 from hibiscushatch_core.hashing import hash_text
 from hibiscushatch_core.layout import Layout
 
+DIGEST_MASK = 0xFFFFFFFF
+
 
 class BucketTable:
     """Bucket states by service, with a digest of each service's states."""
@@ -27,7 +29,7 @@
         total = 0
         for digest in self._digests.values():
             total ^= digest
-        return total
+        return total & DIGEST_MASK
 
     def service_digest(self, service: str) -> int:
         """Return the digest of one service's states."""
--- a/packages/node/src/hibiscushatch_node/membership.py
+++ b/packages/node/src/hibiscushatch_node/membership.py
@@ -10,8 +10,10 @@
 import dataclasses
 import enum
 import functools
+import ipaddress
 from collections.abc import Iterable, Iterator
 
+from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.hashing import hash_text
 from hibiscushatch_core.messages import MemberMessage
 from hibiscushatch_core.settings import NodeSettings
@@ -87,41 +89,58 @@
 
 
 def member_from_message(message: MemberMessage) -> Member:
-    """Convert a record from its border model."""
-    return Member(
-        name=message.name,
-        domain=message.domain,
-        incarnation=message.incarnation,
-        sequence=message.sequence,
-        state=MemberState(message.state),
-        control=message.control.pair,
-        relay=message.relay.pair,
-        generation=message.generation,
-        hears=frozenset(message.hears),
-        dead=frozenset(message.dead),
-    )
+    """Convert a record from its border model.
+
+    Args:
+        message: The record as it came.
+
+    Returns:
+        The record.
+
+    Raises:
+        PeerError: When an address or the state is wrong.
+    """
+    try:
+        return Member(
+            name=message.n,
+            domain=message.m,
+            incarnation=message.i,
+            sequence=message.q,
+            state=MemberState(message.s),
+            control=_parse_address(message.c),
+            relay=_parse_address(message.r),
+            generation=message.g,
+            hears=frozenset(message.h),
+            dead=frozenset(message.x),
+        )
+    except ValueError as error:
+        raise PeerError('read a record', message.n, str(error)) from error
 
 
 def member_to_message(member: Member) -> MemberMessage:
     """Convert a record to its border model."""
-    return MemberMessage.model_validate(
-        {
-            'name': member.name,
-            'domain': member.domain,
-            'incarnation': member.incarnation,
-            'sequence': member.sequence,
-            'state': member.state.value,
-            'control': _address_fields(member.control),
-            'relay': _address_fields(member.relay),
-            'generation': member.generation,
-            'hears': sorted(member.hears),
-            'dead': sorted(member.dead),
-        }
+    return MemberMessage(
+        n=member.name,
+        m=member.domain,
+        i=member.incarnation,
+        q=member.sequence,
+        s=member.state.value,
+        c=_format_address(member.control),
+        r=_format_address(member.relay),
+        g=member.generation,
+        h=tuple(sorted(member.hears)),
+        x=tuple(sorted(member.dead)),
     )
 
 
-def _address_fields(pair: tuple[str, int]) -> dict[str, object]:
-    return {'address': pair[0], 'port': pair[1]}
+def _format_address(address: tuple[str, int]) -> str:
+    host, port = address
+    return f'{host}:{port}'
+
+
+def _parse_address(text: str) -> tuple[str, int]:
+    host, _, port = text.partition(':')
+    return (str(ipaddress.IPv4Address(host)), int(port))
 
 
 class Membership:
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -24,6 +24,8 @@
 from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.node_state import NodeState
 
+PLAN_INTERVAL_S = 2.0
+
 
 class BucketPublisher(abc.ABC):
     """Tells other entry VMs of buckets and entries."""
@@ -71,6 +73,8 @@
         self._opening: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._motions: dict[tuple[str, int], _Motion] = {}
         self._answered_at_s: dict[str, float] = {}
+        self._planned_inputs = 0
+        self._planned_at_s = 0.0
 
     def is_eligible(self, upstream: str) -> bool:
         """Tell whether buckets may be moved to an upstream."""
@@ -154,9 +158,11 @@
             await asyncio.sleep(self._state.settings.timing.move_interval_s)
             if self._state.manifest is None:
                 continue
+            is_plan_due = self._is_plan_due()
             for service in self._state.manifest.services:
                 self._rest_buckets(service)
-                await self._move_buckets(service)
+                if is_plan_due:
+                    await self._move_buckets(service)
 
     def _open(self, service: str, index: int) -> asyncio.Task[None] | None:
         key = (service, index)
@@ -194,6 +200,28 @@
         self._state.table.put(service, index, changed)
         self._publisher.publish_bucket(service, index)
 
+    def _is_plan_due(self) -> bool:
+        """Tell whether the plan may differ from the one made last."""
+        weights = (
+            self._admission.weight(one)
+            for one in self._state.manifest.upstreams_by_name.values()
+        )
+        inputs = hash(
+            (
+                self._state.table.digest,
+                self._state.membership.version,
+                self._state.generation,
+                tuple(weights),
+            )
+        )
+        now_s = self._state.now()
+        is_recent = now_s - self._planned_at_s < PLAN_INTERVAL_S
+        if inputs == self._planned_inputs and is_recent:
+            return False
+        self._planned_inputs = inputs
+        self._planned_at_s = now_s
+        return True
+
     async def _move_buckets(self, service: Service) -> None:
         moves = [
             self.move(service.name, one.bucket, one.target)
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -103,7 +103,7 @@
             claims = claims_from_message(session.name, message.claims)
             self._admission.ledger.receive(claims, now_s)
             self._admission.ledger.refresh(now_s)
-            if self._admission.ledger.has_news_for(session.name):
+            if claims.announcements:
                 session.wake()
         for record in message.warmth:
             if self._admission.warmth.receive(
--- a/packages/node/src/hibiscushatch_node/peers.py
+++ b/packages/node/src/hibiscushatch_node/peers.py
@@ -74,15 +74,20 @@
             session.wake()
 
     def spread_member(self, name: str, *, without: str = '') -> None:
-        """Send a VM's record to all peers but one.
+        """Send a VM's record to the peers that may lack it.
+
+        A VM tells those that it hears itself.
 
         Args:
             name: Whose record.
             without: Name of the peer that has it already.
         """
+        member = self._state.membership.find(name)
+        told = member.hears if member and name != self._state.name else ()
         for session in self._flood_sessions(without):
-            session.outbox.members.add(name)
-            session.wake()
+            if session.name not in told:
+                session.outbox.members.add(name)
+                session.wake()
 
     def spread_warmth(self, upstream: str, *, without: str = '') -> None:
         """Send an upstream's warmth record to all peers but one.
