Let the platform stand-in wait at least a millisecond for a lease to lapse

Cause: a watch waited until the next lease lapses; the loop fires timers up to its clock's resolution early, so under virtual time the wait was repeated without time going on.

--- a/packages/tools/src/hibiscushatch_tools/platform_store.py
+++ b/packages/tools/src/hibiscushatch_tools/platform_store.py
@@ -16,6 +16,8 @@
 ResultT = TypeVar('ResultT')
 PROGRESS_S = 5.0
 
+WAIT_MIN_S = 0.001
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformFaults:
@@ -267,7 +269,7 @@
     async def _wait(self, changed: asyncio.Event) -> None:
         now = self._clock()
         lapses = (one.expires_at - now for one in self._leases.values())
-        timeout_s = min((self._progress_s, *lapses))
+        timeout_s = max(min((self._progress_s, *lapses)), WAIT_MIN_S)
         try:
             await asyncio.wait_for(changed.wait(), timeout_s)
         except TimeoutError:
