Add the adapters over UDP, WebSockets and HTTP, and the daemon

The entry VM had ports without adapters. Adds the batch-reading UDP sockets, the peer transport over WebSockets with two valid keys, the administration API with its metrics, and the daemon with its command line.

Settings now refuse an unknown log level, Counters count errors that have no reason, and the ports of an entry VM carry its counters and incarnation.

The daemon as a process is not run yet: its platform adapter is still to come.

--- a/packages/core/src/hibiscushatch_core/counters.py
+++ b/packages/core/src/hibiscushatch_core/counters.py
@@ -26,6 +26,7 @@
         control_bytes_received: Bytes of peer messages received.
         platform_calls: Calls made to the platform's service.
         bucket_moves: Buckets whose move this VM began.
+        unexpected_errors: Errors on the packet path that have no reason.
     """
 
     drops: collections.Counter[reasons.DropReason] = dataclasses.field(
@@ -46,3 +47,4 @@
     control_bytes_received: int = 0
     platform_calls: int = 0
     bucket_moves: int = 0
+    unexpected_errors: int = 0
--- a/packages/core/src/hibiscushatch_core/settings.py
+++ b/packages/core/src/hibiscushatch_core/settings.py
@@ -5,7 +5,7 @@
 """
 
 import ipaddress
-from typing import Annotated
+from typing import Annotated, Literal
 
 import pydantic
 
@@ -13,6 +13,7 @@
 from hibiscushatch_core.manifest_document import Name, Port
 
 Interval = Annotated[float, pydantic.Field(gt=0, le=3600)]
+LogLevel = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
 KEY_BYTES_MIN = 16
 
 
@@ -89,5 +90,5 @@
     ]
     seed_peers: list[PeerSettings] = []
     timing: TimingSettings = TimingSettings()
-    log_level: str = 'INFO'
+    log_level: LogLevel = 'INFO'
     random_seed: int | None = None
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of the entry VM: sockets, HTTP and the platform."""
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -24,6 +24,8 @@
         transport: Connections to other entry VMs.
         clock: Monotonic time in seconds.
         randomness: Source of jitter.
+        counters: What is counted; the adapters count into it too.
+        incarnation: Higher than at any earlier start under this name.
     """
 
     sender: PacketSender
@@ -31,6 +33,8 @@
     transport: PeerTransport
     clock: Callable[[], float]
     randomness: random.Random
+    counters: Counters
+    incarnation: int
 
 
 class EntryVm:
@@ -39,7 +43,7 @@
     def __init__(self, settings: NodeSettings, ports: EntryVmPorts) -> None:
         self._settings = settings
         self._ports = ports
-        self.counters = Counters()
+        self.counters = ports.counters
 
     async def start(self) -> None:
         """Begin to watch the manifest and to talk to peers."""
--- /dev/null
+++ b/packages/node/src/hibiscushatch_node/loop_lag.py
@@ -0,0 +1,27 @@
+"""Measures how late the event loop runs timers."""
+
+import asyncio
+
+SAMPLE_INTERVAL_S = 0.25
+_DECAY = 0.9
+
+
+class LoopLagMeter:
+    """Samples the delay of a timer.
+
+    Attributes:
+        recent_max_s: The largest delay in seconds, fading by a tenth with each
+            sample.
+    """
+
+    def __init__(self) -> None:
+        self.recent_max_s = 0.0
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + SAMPLE_INTERVAL_S
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+            delay_s = max(loop.time() - due, 0)
+            self.recent_max_s = max(delay_s, self.recent_max_s * _DECAY)
--- /dev/null
+++ b/packages/node/tests/udp_test.py
@@ -0,0 +1,129 @@
+"""Tests of hibiscushatch_node.adapters.udp over loopback sockets."""
+
+import asyncio
+import socket
+
+import adapter_fixtures
+
+from hibiscushatch_core import packets
+from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.reasons import DropReason
+from hibiscushatch_node.adapters import udp
+from hibiscushatch_tools.testing import real_time
+
+DATAGRAMS = (
+    b'',
+    b'\x45',
+    bytes(20),
+    b'\x60' + bytes(60),
+    bytes(packets.PACKET_BYTES_MAX + 1),
+    bytes(udp.DATAGRAM_BYTES_MAX * 2),
+)
+
+
+def _address(kind: socket.SocketKind = socket.SOCK_DGRAM) -> tuple[str, int]:
+    fields = adapter_fixtures.free_address(kind)
+    return (fields['address'], fields['port'])
+
+
+@real_time
+async def test_handler_errors_and_bad_datagrams_do_not_end_the_loop() -> None:
+    seen: asyncio.Queue[bytes] = asyncio.Queue()
+
+    def handler(datagram: bytes, _sender: str) -> None:
+        seen.put_nowait(datagram)
+        raise ValueError(len(datagram))
+
+    counters = Counters()
+    with (
+        adapter_fixtures.captured_log('hibiscushatch_node') as records,
+        udp.open_udp_socket(_address()) as inner,
+    ):
+        receiver = udp.UdpReceiver(inner, handler, counters)
+        receiver.start()
+        with udp.open_udp_socket(_address()) as outer:
+            for datagram in DATAGRAMS:
+                outer.sendto(datagram, inner.getsockname())
+                received = await asyncio.wait_for(seen.get(), 5)
+                assert received == datagram[: udp.DATAGRAM_BYTES_MAX]
+        receiver.stop()
+    assert counters.unexpected_errors == len(DATAGRAMS)
+    assert len(records) == 1
+
+
+@real_time
+async def test_oversized_datagrams_still_read_as_oversized() -> None:
+    seen: asyncio.Queue[bytes] = asyncio.Queue()
+    with udp.open_udp_socket(_address()) as inner:
+        receiver = udp.UdpReceiver(
+            inner, lambda datagram, _: seen.put_nowait(datagram), Counters()
+        )
+        receiver.start()
+        with udp.open_udp_socket(_address()) as outer:
+            outer.sendto(b'\x45' + bytes(20000), inner.getsockname())
+            received = await asyncio.wait_for(seen.get(), 5)
+        receiver.stop()
+    assert packets.read_headers(received) is DropReason.OVERSIZED
+
+
+@real_time
+async def test_a_batch_is_bounded_and_nothing_is_left_behind() -> None:
+    sizes: list[int] = []
+    with udp.open_udp_socket(_address()) as inner:
+        receiver = udp.UdpReceiver(
+            inner, lambda datagram, _: sizes.append(len(datagram)), Counters()
+        )
+        with udp.open_udp_socket(_address()) as outer:
+            for size in range(udp.BATCH_DATAGRAMS_MAX * 2 + 1):
+                outer.sendto(bytes(size), inner.getsockname())
+        receiver.start()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert len(sizes) <= udp.BATCH_DATAGRAMS_MAX * 2
+        while len(sizes) <= udp.BATCH_DATAGRAMS_MAX * 2:
+            await asyncio.sleep(0)
+        receiver.stop()
+    assert sizes == list(range(udp.BATCH_DATAGRAMS_MAX * 2 + 1))
+
+
+def test_each_packet_leaves_from_the_right_socket() -> None:
+    target = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    target.bind(_address())
+    target.settimeout(5)
+    host, port = target.getsockname()
+    settings = adapter_fixtures.node_settings(
+        fabric={'address': host, 'port': port}
+    )
+    with (
+        target,
+        udp.open_udp_socket(settings.edge.pair) as edge,
+        udp.open_udp_socket(settings.relay.pair) as relay,
+    ):
+        sender = udp.UdpPacketSender(settings, edge, relay, Counters())
+        sender.send_to_caller(b'caller')
+        assert target.recvfrom(16) == (b'caller', settings.edge.pair)
+        sender.send_to_upstream(b'upstream', (host, port))
+        assert target.recvfrom(16) == (b'upstream', settings.edge.pair)
+        sender.send_to_peer(b'peer', (host, port))
+        assert target.recvfrom(16) == (b'peer', settings.relay.pair)
+
+
+class _FullSocket:
+    """A socket whose send buffer is full."""
+
+    def sendto(self, _datagram: bytes, _target: tuple[str, int]) -> int:
+        raise BlockingIOError
+
+
+def test_failed_sends_are_counted_and_not_raised() -> None:
+    counters = Counters()
+    sender = udp.UdpPacketSender(
+        adapter_fixtures.node_settings(),
+        _FullSocket(),
+        _FullSocket(),
+        counters,
+    )
+    sender.send_to_caller(b'')
+    sender.send_to_upstream(b'', ('127.0.0.1', 9))
+    sender.send_to_peer(b'', ('127.0.0.1', 9))
+    assert counters.drops == {DropReason.SEND_FAILED: 3}
