--- a/packages/node/src/hibiscushatch_node/adapters/peer_socket.py
+++ b/packages/node/src/hibiscushatch_node/adapters/peer_socket.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 import weakref
 
 from aiohttp import (
@@ -33,6 +34,7 @@
 PEER_PATH = '/v1/peer'
 MESSAGE_BYTES_MAX = 4 * 1024 * 1024
 CLOSE_TIMEOUT_S = 0.5
+LISTEN_BACKLOG = 128
 # An upgrade request or its response with the headers that aiohttp sends.
 HANDSHAKE_BYTES = 350
 # Frame header with a mask and a 16-bit length.
@@ -142,10 +144,21 @@
         self._timing = settings.timing
         self._session: ClientSession | None = None
         self._runner: web.AppRunner | None = None
+        self._socket: socket.socket | None = None
         self._open_channels: weakref.WeakSet[WebSocketChannel] = (
             weakref.WeakSet()
         )
 
+    def bind(self) -> None:
+        """Take the control address, before anything else is started.
+
+        Raises:
+            OSError: When the address can't be bound.
+        """
+        self._socket = socket.create_server(
+            self._settings.control.pair, backlog=LISTEN_BACKLOG
+        )
+
     async def connect(self, target: tuple[str, int]) -> PeerChannel:
         """Open a connection to a control address.
 
@@ -192,8 +205,9 @@
             application, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         await self._runner.setup()
-        control = self._settings.control.pair
-        await web.TCPSite(self._runner, *control).start()
+        if self._socket is None:
+            self.bind()
+        await web.SockSite(self._runner, self._socket).start()
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
@@ -203,6 +217,8 @@
             await self._session.close()
         if self._runner is not None:
             await self._runner.cleanup()
+        if self._socket is not None:
+            self._socket.close()
 
     async def _open_websocket(self, peer: str) -> _WebSocket:
         if self._session is None:
--- a/packages/node/src/hibiscushatch_node/daemon.py
+++ b/packages/node/src/hibiscushatch_node/daemon.py
@@ -76,6 +76,7 @@
         relay = stack.enter_context(_udp_socket(settings.relay.pair))
         stack.push_async_callback(platform.close)
         stack.push_async_callback(transport.close)
+        transport.bind()
         ports = EntryVmPorts(
             sender=UdpPacketSender(settings, edge, relay, counters),
             platform=platform,
--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/admin_client.py
@@ -0,0 +1,99 @@
+"""Asking entry VMs over their administration API, for demo and benches."""
+
+import asyncio
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import aiohttp
+
+from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_node.adapters import admin_api, keys
+
+CALL_TIMEOUT_S = 2.0
+POLL_INTERVAL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryCounters:
+    """What one entry VM counted.
+
+    Attributes:
+        by_reason: Counts by family and reason.
+        totals: Counts that have no reason.
+    """
+
+    by_reason: Mapping[str, Mapping[str, int]]
+    totals: Mapping[str, int]
+
+
+class AdminClient:
+    """Calls the administration API of entry VMs."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        )
+
+    async def close(self) -> None:
+        """Release connections."""
+        await self._session.close()
+
+    async def is_ready(self, settings: NodeSettings) -> bool:
+        """Tell whether an entry VM wants packets; False when it is away."""
+        url = _url(settings, admin_api.READY_PATH)
+        try:
+            async with self._session.get(url) as response:
+                return response.ok
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def generation(self, settings: NodeSettings) -> int:
+        """Return the manifest generation in force; 0 when VM is away."""
+        try:
+            report = await self._get(settings, admin_api.REPORT_PATH)
+        except (aiohttp.ClientError, TimeoutError):
+            return 0
+        return report['generation']
+
+    async def counters(self, settings: NodeSettings) -> EntryCounters:
+        """Read the counters of an entry VM."""
+        fields = await self._get(settings, admin_api.COUNTERS_PATH)
+        return EntryCounters(
+            by_reason={
+                name: counts
+                for name, counts in fields.items()
+                if isinstance(counts, dict)
+            },
+            totals={
+                name: count
+                for name, count in fields.items()
+                if isinstance(count, int)
+            },
+        )
+
+    async def wait_ready(self, fleet: Iterable[NodeSettings]) -> None:
+        """Wait until all entry VMs of a fleet want packets."""
+        for settings in fleet:
+            while not await self.is_ready(settings):
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def wait_generation(
+        self, fleet: Iterable[NodeSettings], generation: int
+    ) -> None:
+        """Wait until all entry VMs of a fleet have a manifest in force."""
+        for settings in fleet:
+            while await self.generation(settings) < generation:
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _get(self, settings: NodeSettings, path: str) -> dict[str, Any]:
+        headers = keys.authorization_headers(settings.admin_keys)
+        url = _url(settings, path)
+        async with self._session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            return await response.json()
+
+
+def _url(settings: NodeSettings, path: str) -> str:
+    admin = settings.admin
+    return f'http://{admin.address}:{admin.port}{path}'
--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/loopback_net.py
@@ -0,0 +1,50 @@
+"""Loopback addresses for one run, apart from those of runs beside it."""
+
+import dataclasses
+import os
+
+_LOOPBACK = 127
+_FIRST_NET = 16
+_NETS = 224
+_HOSTS_PER_SUBNET = 250
+_SERVICES_SUBNET = 1
+_ENTRIES_SUBNET = 10
+_UPSTREAMS_SUBNET = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoopbackNet:
+    """The 127.x.0.0/16 that a run uses.
+
+    Attributes:
+        number: Second octet of its addresses.
+    """
+
+    number: int
+
+    @property
+    def platform_address(self) -> str:
+        """Where the platform stand-in listens."""
+        return self._address(_SERVICES_SUBNET, 0)
+
+    @property
+    def fabric_address(self) -> str:
+        """Where the callers' side of the fabric listens."""
+        return self._address(_SERVICES_SUBNET, 1)
+
+    def entry_address(self, index: int) -> str:
+        """Return the address of an entry VM."""
+        return self._address(_ENTRIES_SUBNET, index)
+
+    def upstream_address(self, index: int) -> str:
+        """Return the tunnel address of an upstream."""
+        return self._address(_UPSTREAMS_SUBNET, index)
+
+    def _address(self, subnet: int, index: int) -> str:
+        further, host = divmod(index, _HOSTS_PER_SUBNET)
+        return f'{_LOOPBACK}.{self.number}.{subnet + further}.{host + 1}'
+
+
+def own_net() -> LoopbackNet:
+    """Pick the net of this process, by its process id."""
+    return LoopbackNet(_FIRST_NET + os.getpid() % _NETS)
