--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/demo.py
@@ -0,0 +1,234 @@
+"""The demo: nine entry VM processes carry flows through planned changes.
+
+It starts everything it needs on loopback addresses, commits a manifest and
+restarts an entry VM while callers are busy, and ends with one JSON object.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+import signal
+import sys
+import time
+from collections.abc import Sequence
+
+import click
+
+from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_tools import demo_plan, entry_processes, loopback_net
+from hibiscushatch_tools.admin_client import AdminClient
+from hibiscushatch_tools.callers import Callers, FlowOutcome, FlowPlan
+from hibiscushatch_tools.demo_result import NO_NEW_FLOWS_AFTER_S, DemoResult
+from hibiscushatch_tools.fleet_processes import FleetProcesses
+from hibiscushatch_tools.payload_ledger import PayloadLedger
+from hibiscushatch_tools.process_network import (
+    ProcessNetwork,
+    connect_callers,
+    connect_upstream,
+)
+from hibiscushatch_tools.upstream_standin import UpstreamStandIn
+
+ENTRY_VMS = 9
+FLOWS_DEFAULT = 1500
+RUN_LIMIT_S = 55.0
+OPENING_S = 18.0
+COMMIT_AFTER_S = 6.0
+RESTART_AFTER_S = 9.0
+POLL_INTERVAL_S = 0.1
+RESTARTED_INDEX = 4
+EXIT_BROKEN_PROMISE = 1
+
+
+class Demo:
+    """One run of the demo.
+
+    Attributes:
+        result: The figures of the run.
+
+    Args:
+        group: Starts the processes.
+        flows: Number of flows.
+        seed: Makes the callers' choices the same in every run.
+    """
+
+    def __init__(
+        self, group: entry_processes.ProcessGroup, flows: int, seed: int
+    ) -> None:
+        self.result = DemoResult()
+        self._randomness = random.Random(seed)
+        self._net = loopback_net.own_net()
+        settings = entry_processes.fleet_settings(
+            self._net, demo_plan.DOMAINS, ENTRY_VMS
+        )
+        self._admin = AdminClient()
+        self._fleet = FleetProcesses(group, settings, self._admin)
+        self._network = ProcessNetwork(settings, self._admin, self._randomness)
+        self._ledger = PayloadLedger()
+        first = demo_plan.first_manifest(self._net)
+        self._flow_plans = tuple(
+            demo_plan.flow_plans(first, flows, self._randomness)
+        )
+        self._committed_s = 0.0
+        self._upstreams: dict[str, UpstreamStandIn] = {}
+
+    @property
+    def upstreams(self) -> Sequence[UpstreamStandIn]:
+        """The upstream stand-ins."""
+        return tuple(self._upstreams.values())
+
+    async def run(self) -> None:
+        """Run the demo and fill in the result."""
+        started_s = time.monotonic()
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._admin.close)
+            stack.push_async_callback(self._fleet.close)
+            await self._fleet.start(demo_plan.first_manifest(self._net))
+            stack.callback(self._network.close)
+            callers = await self._connect_ends()
+            listing = asyncio.create_task(self._network.run())
+            stack.callback(listing.cancel)
+            await self._drive(callers)
+            await callers.close()
+            self._judge(callers)
+            for settings in self._fleet.settings:
+                await self._add_counters(settings)
+        self.result.duration_s = round(time.monotonic() - started_s, 1)
+
+    async def _connect_ends(self) -> Callers:
+        await self._network.refresh()
+        second = demo_plan.second_manifest(self._net)
+        for plan in demo_plan.upstream_plans(second):
+            self._upstreams[plan.name] = connect_upstream(
+                self._network, plan, self._ledger, self._randomness
+            )
+        fabric = self._fleet.settings[0].fabric.pair
+        return connect_callers(self._network, fabric, self._randomness)
+
+    async def _drive(self, callers: Callers) -> None:
+        """Open all flows, make the changes, and wait for the flows' ends."""
+        with contextlib.suppress(TimeoutError):
+            async with (
+                asyncio.timeout(RUN_LIMIT_S),
+                asyncio.TaskGroup() as changes,
+            ):
+                changes.create_task(_open_flows(callers, self._flow_plans))
+                changes.create_task(self._commit_second())
+                changes.create_task(self._restart_one())
+            await _wait_finished(callers)
+
+    async def _commit_second(self) -> None:
+        await asyncio.sleep(COMMIT_AFTER_S)
+        second = demo_plan.second_manifest(self._net)
+        self._committed_s = time.monotonic()
+        await self._fleet.commit(second)
+        await self._admin.wait_generation(
+            self._fleet.settings, second.generation
+        )
+        in_force_s = time.monotonic() - self._committed_s
+        self.result.manifest_in_force_s = round(in_force_s, 2)
+
+    async def _restart_one(self) -> None:
+        await asyncio.sleep(RESTART_AFTER_S)
+        started_s = time.monotonic()
+        await self._add_counters(self._fleet.settings[RESTARTED_INDEX])
+        self.result.restart_exit_code = await self._fleet.stop_one(
+            RESTARTED_INDEX
+        )
+        await self._fleet.start_one(RESTARTED_INDEX)
+        self.result.restart_s = round(time.monotonic() - started_s, 2)
+
+    def _judge(self, callers: Callers) -> None:
+        result = self.result
+        result.judge_flows(callers.records, callers.latencies_s)
+        result.judge_upstreams(self.upstreams, self._ledger)
+        late_s = self._committed_s + NO_NEW_FLOWS_AFTER_S
+        drained = self._upstreams[demo_plan.DRAINED_UPSTREAM]
+        result.late_flows_on_drained = sum(
+            begun_s > late_s for begun_s in drained.totals.new_flow_times_s
+        )
+        added = self._upstreams[demo_plan.ADDED_UPSTREAM]
+        result.flows_on_added = len(added.totals.new_flow_times_s)
+        result.stand_in_errors = self._network.unexpected_errors
+
+    async def _add_counters(self, settings: NodeSettings) -> None:
+        counters = await self._admin.counters(settings)
+        self.result.add_refusals(counters.by_reason['refusals'])
+        self.result.add_drops(counters.by_reason['drops'])
+
+
+async def _open_flows(callers: Callers, plans: Sequence[FlowPlan]) -> None:
+    pause_s = OPENING_S / max(len(plans), 1)
+    loop = asyncio.get_running_loop()
+    due_s = loop.time()
+    for plan in plans:
+        callers.open(plan)
+        due_s += pause_s
+        await asyncio.sleep(max(due_s - loop.time(), 0))
+
+
+async def _wait_finished(callers: Callers) -> None:
+    while any(one.outcome is FlowOutcome.OPEN for one in callers.records):
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def run_demo(flows: int, seed: int) -> Demo:
+    """Run the demo in processes of its own.
+
+    Args:
+        flows: Number of flows.
+        seed: Makes the callers' choices the same in every run.
+
+    Returns:
+        The finished demo.
+    """
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    async with entry_processes.process_group() as group:
+        demo = Demo(group, flows, seed)
+        await demo.run()
+        return demo
+
+
+def print_upstreams(upstreams: Sequence[UpstreamStandIn]) -> None:
+    """Print one line for each upstream."""
+    row = '{:14} {:8} {:>9} {:>9} {:>12}'
+    click.echo(
+        row.format(
+            'upstream', 'domain', 'new flows', 'peak open', 'misdelivered'
+        )
+    )
+    for upstream in upstreams:
+        totals = upstream.totals
+        click.echo(
+            row.format(
+                upstream.plan.name,
+                upstream.plan.domain,
+                len(totals.new_flow_times_s),
+                totals.peak_open,
+                totals.misdelivered,
+            )
+        )
+
+
+@click.command()
+@click.option('--flows', default=FLOWS_DEFAULT, help='Number of flows.')
+@click.option('--seed', default=1, help="Seed of the callers' choices.")
+def main(flows: int, seed: int) -> None:
+    """Run nine entry VMs through planned changes under load.
+
+    The last line is a JSON object; the exit code is 1 when a promise broke.
+    """
+    demo = asyncio.run(run_demo(flows, seed))
+    print_upstreams(demo.upstreams)
+    broken = tuple(demo.result.broken_promises())
+    for promise in broken:
+        click.echo(f'broken promise: {promise}')
+    click.echo(json.dumps(dataclasses.asdict(demo.result)))
+    sys.exit(EXIT_BROKEN_PROMISE if broken else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/demo_plan.py
@@ -0,0 +1,175 @@
+"""What the demo runs: its manifests, upstreams and flows."""
+
+import dataclasses
+import ipaddress
+import random
+from collections.abc import Iterator
+
+from hibiscushatch_core.manifest import PROTOCOL_NUMBERS
+from hibiscushatch_core.manifest_document import (
+    ManifestDocument,
+    ServiceDocument,
+)
+from hibiscushatch_tools.callers import FlowPlan
+from hibiscushatch_tools.loopback_net import LoopbackNet
+from hibiscushatch_tools.upstream_standin import UpstreamPlan
+
+DOMAINS = ('pos-a', 'pos-b', 'pos-c')
+UPSTREAM_CONNECTIONS = 2000
+UPSTREAM_SLOTS = 3
+COLD_ALLOWANCE = 60
+WARM_UP_S = 3.0
+WORK_S = 0.004
+SERVICE_PORT = 443
+CALLER_HOSTS = 200
+CALLER_PORT_FIRST = 10000
+CALLERS_NET = ipaddress.IPv4Address('10.9.0.0')
+LONG_FLOW_SHARE = 0.2
+LONG_FLOW_GAP_S = 2.0
+SHORT_FLOW_GAP_S = 0.4
+REQUESTS_MIN = 2
+REQUESTS_MAX = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemoService:
+    """A service of the demo.
+
+    Attributes:
+        name: Its name.
+        address: The address that callers use.
+        servers: Number of its upstreams.
+        share: Part of all flows that call it.
+        answer_segments: Payload segments of each answer.
+    """
+
+    name: str
+    address: str
+    servers: int
+    share: float
+    answer_segments: int
+
+
+SERVICES = (
+    DemoService('booking', '10.0.0.1', 7, 0.7, 2),
+    DemoService('documents', '10.0.0.2', 3, 0.3, 8),
+)
+GROWING_SERVICE = SERVICES[0]
+DRAINED_UPSTREAM = 'booking-1'
+ADDED_UPSTREAM = f'booking-{GROWING_SERVICE.servers + 1}'
+
+
+def first_manifest(net: LoopbackNet) -> ManifestDocument:
+    """Build the manifest that the demo starts with."""
+    counts = {service.name: service.servers for service in SERVICES}
+    return _manifest(net, 1, counts, drained='')
+
+
+def second_manifest(net: LoopbackNet) -> ManifestDocument:
+    """Build the manifest that drains one upstream and adds another."""
+    counts = {service.name: service.servers for service in SERVICES}
+    counts[GROWING_SERVICE.name] += 1
+    return _manifest(net, 2, counts, drained=DRAINED_UPSTREAM)
+
+
+def upstream_plans(manifest: ManifestDocument) -> Iterator[UpstreamPlan]:
+    """List the upstreams that a manifest needs.
+
+    Args:
+        manifest: A manifest of the demo.
+
+    Yields:
+        What each upstream is and bears.
+    """
+    for service_id, service in enumerate(manifest.services):
+        target = _service_target(service)
+        for upstream in service.upstreams:
+            yield UpstreamPlan(
+                name=upstream.name,
+                domain=upstream.domain,
+                address=str(upstream.address),
+                service=target,
+                service_id=service_id,
+                slots=upstream.slots,
+                connections=upstream.connections,
+                cold_allowance=upstream.cold_allowance,
+                warm_up_s=upstream.warm_up_s,
+                work_s=WORK_S,
+            )
+
+
+def flow_plans(
+    manifest: ManifestDocument, count: int, randomness: random.Random
+) -> Iterator[FlowPlan]:
+    """Plan the flows of the callers.
+
+    Args:
+        manifest: A manifest of the demo.
+        count: Number of flows.
+        randomness: Picks service, length and pace of each flow.
+
+    Yields:
+        One plan a flow.
+    """
+    shares = [service.share for service in SERVICES]
+    for flow_id in range(count):
+        (service_id,) = randomness.choices(range(len(SERVICES)), shares)
+        address, port, protocol = _service_target(manifest.services[service_id])
+        is_long = randomness.random() < LONG_FLOW_SHARE
+        port_step, host = divmod(flow_id, CALLER_HOSTS)
+        yield FlowPlan(
+            flow_id=flow_id,
+            service_name=SERVICES[service_id].name,
+            service_id=service_id,
+            service=(address, port),
+            caller=(int(CALLERS_NET) + 1 + host, CALLER_PORT_FIRST + port_step),
+            protocol=protocol,
+            requests=randomness.randint(REQUESTS_MIN, REQUESTS_MAX),
+            gap_s=LONG_FLOW_GAP_S if is_long else SHORT_FLOW_GAP_S,
+            request_segments=2,
+            answer_segments=SERVICES[service_id].answer_segments,
+        )
+
+
+def _service_target(service: ServiceDocument) -> tuple[int, int, int]:
+    protocol = PROTOCOL_NUMBERS[service.protocol]
+    return (int(service.address), service.port, protocol)
+
+
+def _manifest(
+    net: LoopbackNet, generation: int, counts: dict[str, int], drained: str
+) -> ManifestDocument:
+    return ManifestDocument.model_validate(
+        {
+            'generation': generation,
+            'failure_domains': [{'name': name} for name in DOMAINS],
+            'services': [
+                {
+                    'name': service.name,
+                    'address': service.address,
+                    'port': SERVICE_PORT,
+                    'upstreams': [
+                        _upstream(net, order, service.name, index, drained)
+                        for index in range(counts[service.name])
+                    ],
+                }
+                for order, service in enumerate(SERVICES)
+            ],
+        }
+    )
+
+
+def _upstream(
+    net: LoopbackNet, order: int, service: str, index: int, drained: str
+) -> dict[str, object]:
+    name = f'{service}-{index + 1}'
+    return {
+        'name': name,
+        'domain': DOMAINS[index % len(DOMAINS)],
+        'address': net.upstream_address(order * CALLER_HOSTS // 2 + index),
+        'slots': UPSTREAM_SLOTS,
+        'connections': UPSTREAM_CONNECTIONS,
+        'cold_allowance': COLD_ALLOWANCE,
+        'warm_up_s': WARM_UP_S,
+        'state': 'draining' if name == drained else 'active',
+    }
