--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -56,8 +56,12 @@
         self._connector = Connector(
             self._state, self._exit, self._mover, self._admission
         )
-        self._handover = Handover(self._state, self._peers, self._outflow)
-        self._lifecycle = Lifecycle(self._state, self._peers, self._intake)
+        self._handover = Handover(
+            self._state, self._peers, self._outflow, self._admission
+        )
+        self._lifecycle = Lifecycle(
+            self._state, self._peers, self._intake, self._applier
+        )
         self._forwarder = Forwarder(
             self._state,
             self._exit,
@@ -93,7 +97,7 @@
     async def stop(self) -> None:
         """Hand over what is owned, then stop all tasks."""
         await self._lifecycle.leave()
-        self._handover.hand_over_all()
+        self._handover.follow_owners()
         async with asyncio.timeout(self._settings.timing.stop_grace_s):
             await self._connector.stop()
             await self._peers.wait_acknowledged(
@@ -112,7 +116,7 @@
             packet: The inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
-        self._state.ownership.refresh(self._state.now())
+        self._follow_time()
         self._forwarder.handle_edge(packet, sender_address)
 
     def handle_relay(self, datagram: bytes, sender_address: str) -> None:
@@ -122,7 +126,7 @@
             datagram: A relay header and an inner packet.
             sender_address: Source IPv4 address of the datagram, dotted.
         """
-        self._state.ownership.refresh(self._state.now())
+        self._follow_time()
         self._forwarder.handle_relay(datagram, sender_address)
 
     def report(self) -> NodeReport:
@@ -133,6 +137,11 @@
         """Describe the buckets of a service; empty when it is unknown."""
         return reporting.build_bucket_reports(self._state, service_name)
 
+    def _follow_time(self) -> None:
+        now_s = self._state.now()
+        self._lifecycle.notice_time(now_s)
+        self._state.ownership.refresh(now_s)
+
     def _spawn(self, step: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=f'{self._state.name} {step}')
         task.add_done_callback(_log_failure)
--- a/packages/node/src/hibiscushatch_node/peer_outflow.py
+++ b/packages/node/src/hibiscushatch_node/peer_outflow.py
@@ -4,17 +4,19 @@
 from collections.abc import Iterator
 
 from hibiscushatch_core.hashing import FLOW_KEY_BYTES
+from hibiscushatch_core.layout import Layout, pack_indexes
 from hibiscushatch_core.manifest import Upstream
 from hibiscushatch_core.messages import (
     BucketMessage,
     DepartedMessage,
     EntriesMessage,
+    LayoutMessage,
     MemberMessage,
     PeerMessage,
     ServiceDigest,
     bucket_to_message,
 )
-from hibiscushatch_node.flow_table import FlowEntry
+from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.membership import member_to_message
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.peer_session import Outbox, PeerSession
@@ -40,20 +42,49 @@
     def add_entry(
         self, session: PeerSession, service: str, index: int, key: int
     ) -> None:
-        """Put one entry into an outbox."""
+        """Put one entry into an outbox if its bucket can't explain it."""
         entry = self._state.flows.find(service, index, key)
-        if entry is not None and entry.upstream:
-            message = pack_entries(service, index, {key: entry})
-            session.outbox.entries.append(message)
-            session.wake()
+        if entry is not None:
+            self._add_unexplained(session, service, index, {key: entry})
+
+    def add_unexplained_entries(
+        self, session: PeerSession, service: str, index: int
+    ) -> None:
+        """Put the entries that a bucket can't explain into an outbox."""
+        entries = self._state.flows.bucket(service, index)
+        self._add_unexplained(session, service, index, entries)
 
     def add_bucket_entries(
         self, session: PeerSession, service: str, index: int
     ) -> None:
         """Put all entries of a bucket into an outbox."""
         entries = self._state.flows.bucket(service, index)
-        if entries:
-            session.outbox.entries.append(pack_entries(service, index, entries))
+        live = {
+            key: entry
+            for key, entry in entries.items()
+            if entry.state is not FlowState.CLOSING
+        }
+        self._add(session, pack_entries(service, index, live))
+
+    def _add_unexplained(
+        self,
+        session: PeerSession,
+        service: str,
+        index: int,
+        entries: dict[int, FlowEntry],
+    ) -> None:
+        bases = self._state.table.state(service, index).bases
+        needed = {
+            key: entry
+            for key, entry in entries.items()
+            if entry.state is not FlowState.CLOSING
+            and (len(bases) > 1 or entry.upstream != bases[0])
+        }
+        self._add(session, pack_entries(service, index, needed))
+
+    def _add(self, session: PeerSession, message: EntriesMessage) -> None:
+        if message.upstreams:
+            session.outbox.entries.append(message)
             session.wake()
 
     def collect(self, session: PeerSession) -> PeerMessage:
@@ -82,7 +113,8 @@
             buckets=tuple(self._buckets(picked)),
             entries=tuple(outbox.entries),
             claims=tuple(outbox.claims.values()),
-            departed=tuple(self._departed(picked)),
+            departed=tuple(self._departed(outbox)),
+            layouts=tuple(self._layouts(outbox)),
             want_manifest=outbox.want_manifest,
             want_table=outbox.want_table,
             digests=tuple(self._digests(outbox)),
@@ -104,13 +136,16 @@
                 state = self._state.table.state(service, index)
                 yield bucket_to_message(service, index, state)
 
-    def _departed(
-        self, picked: tuple[tuple[str, int], ...]
-    ) -> Iterator[DepartedMessage]:
-        if not picked:
-            return
-        for upstream in self._state.directory.departed:
-            yield _departed_message(upstream)
+    def _departed(self, outbox: Outbox) -> Iterator[DepartedMessage]:
+        if outbox.table_done:
+            for upstream in self._state.directory.departed:
+                yield _departed_message(upstream)
+
+    def _layouts(self, outbox: Outbox) -> Iterator[LayoutMessage]:
+        for service in sorted(outbox.layouts):
+            if self._state.table.has(service, 0):
+                layout = self._state.table.layout(service)
+                yield _layout_message(service, layout)
 
     def _digests(self, outbox: Outbox) -> Iterator[ServiceDigest]:
         if not outbox.want_table:
@@ -159,3 +194,14 @@
         address=upstream.address,
         port=upstream.tunnel_port,
     )
+
+
+def _layout_message(service: str, layout: Layout) -> LayoutMessage:
+    names = tuple(sorted(set(layout.upstreams)))
+    positions = {name: position for position, name in enumerate(names)}
+    return LayoutMessage.model_construct(
+        s=service,
+        g=layout.generation,
+        upstreams=names,
+        indexes=pack_indexes([positions[name] for name in layout.upstreams]),
+    )
