--- a/packages/node/src/hibiscushatch_node/adapters/admin_api.py
+++ b/packages/node/src/hibiscushatch_node/adapters/admin_api.py
@@ -141,9 +141,20 @@
         return web.json_response(dataclasses.asdict(self._entry_vm.report()))
 
     async def _manifest(self, _request: web.Request) -> web.Response:
-        report = self._entry_vm.report()
+        committed = self._entry_vm.state.committed
+        if committed is None:
+            return _error(
+                web.HTTPNotFound.status_code,
+                'no_manifest',
+                'no manifest is in force yet',
+            )
+        document = committed.document
         return web.json_response(
-            {'generation': report.generation, 'commit_id': report.commit_id}
+            {
+                'generation': document.generation,
+                'commit_id': committed.commit_id,
+                'manifest': document.model_dump(mode='json'),
+            }
         )
 
     async def _buckets(self, request: web.Request) -> web.Response:
--- a/packages/node/src/hibiscushatch_node/adapters/peer_socket.py
+++ b/packages/node/src/hibiscushatch_node/adapters/peer_socket.py
@@ -27,12 +27,12 @@
     PeerClosedError,
     PeerError,
 )
+from hibiscushatch_core.messages import MESSAGE_BYTES_MAX
 from hibiscushatch_core.ports import PeerAcceptor, PeerChannel, PeerTransport
 from hibiscushatch_core.settings import NodeSettings
 from hibiscushatch_node.adapters import keys
 
 PEER_PATH = '/v1/peer'
-MESSAGE_BYTES_MAX = 4 * 1024 * 1024
 CLOSE_TIMEOUT_S = 0.5
 LISTEN_BACKLOG = 128
 # An upgrade request or its response with the headers that aiohttp sends.
--- a/packages/node/tests/admin_api_test.py
+++ b/packages/node/tests/admin_api_test.py
@@ -3,12 +3,15 @@
 import contextlib
 import dataclasses
 from collections.abc import AsyncIterator
+from typing import Self
 
 import adapter_fixtures
 import aiohttp
 
 from hibiscushatch_core import reasons
 from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.manifest_blob import CommittedManifest
+from hibiscushatch_core.manifest_document import ManifestDocument
 from hibiscushatch_core.report import (
     BucketReport,
     MemberReport,
@@ -42,6 +45,32 @@
         ),
     ),
 )
+COMMITTED = CommittedManifest(
+    'c-7',
+    ManifestDocument.model_validate(
+        {
+            'generation': 7,
+            'failure_domains': [{'name': 'pos-a'}],
+            'services': [
+                {
+                    'name': 'booking',
+                    'address': '10.0.0.1',
+                    'port': 443,
+                    'upstreams': [
+                        {
+                            'name': 'b-1',
+                            'domain': 'pos-a',
+                            'address': '127.2.0.1',
+                            'connections': 100,
+                            'cold_allowance': 10,
+                        }
+                    ],
+                }
+            ],
+        }
+    ),
+    b'',
+)
 BUCKET = BucketReport(0, 4, False, ('b-1',), 'b-1', 'entry-1')
 
 
@@ -51,6 +80,11 @@
     def __init__(self) -> None:
         self.counters = Counters()
         self.current_report = REPORT
+        self.committed = COMMITTED
+
+    @property
+    def state(self) -> Self:
+        return self
 
     def report(self) -> NodeReport:
         if self.current_report is None:
@@ -127,6 +161,9 @@
         for path, expected, code in table:
             status, body = await served.get(path, FIRST_KEY)
             assert (status, body['error']['code']) == (expected, code), path
+        served.entry_vm.committed = None
+        status, body = await served.get('/v1/manifest', FIRST_KEY)
+        assert (status, body['error']['code']) == (404, 'no_manifest')
         served.entry_vm.current_report = None
         with adapter_fixtures.captured_log('hibiscushatch_node') as records:
             status, body = await served.get('/v1/report', FIRST_KEY)
@@ -151,7 +188,8 @@
         _, report = await served.get('/v1/report', FIRST_KEY)
         assert report['members'][0]['name'] == 'entry-2'
         _, manifest = await served.get('/v1/manifest', FIRST_KEY)
-        assert manifest == {'generation': 7, 'commit_id': 'commit-7'}
+        assert (manifest['generation'], manifest['commit_id']) == (7, 'c-7')
+        assert manifest['manifest']['services'][0]['name'] == 'booking'
         _, buckets = await served.get('/v1/buckets/booking', FIRST_KEY)
         assert buckets == [{**dataclasses.asdict(BUCKET), 'bases': ['b-1']}]
         _, upstreams = await served.get('/v1/upstreams', FIRST_KEY)
--- a/packages/node/tests/peer_socket_test.py
+++ b/packages/node/tests/peer_socket_test.py
@@ -7,6 +7,7 @@
 import adapter_fixtures
 import aiohttp
 
+from hibiscushatch_core import messages
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import (
     AuthenticationError,
@@ -79,7 +80,7 @@
 
 @real_time
 async def test_each_fault_raises_its_error_with_step_and_peer() -> None:
-    oversized = 'x' * (peer_socket.MESSAGE_BYTES_MAX + 1)
+    oversized = 'x' * (messages.MESSAGE_BYTES_MAX + 1)
     wrong_key = 'wrong-peer-key-0123456789'
     table = (
         ('wrong key', _echo, wrong_key, '{}', AuthenticationError),
--- a/packages/tools/src/hibiscushatch_tools/demo.py
+++ b/packages/tools/src/hibiscushatch_tools/demo.py
@@ -32,7 +32,7 @@
 
 ENTRY_VMS = 9
 FLOWS_DEFAULT = 1500
-RUN_LIMIT_S = 55.0
+DRIVE_LIMIT_S = 44.0
 OPENING_S = 18.0
 COMMIT_AFTER_S = 6.0
 RESTART_AFTER_S = 9.0
@@ -84,16 +84,11 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._admin.close)
             stack.push_async_callback(self._fleet.close)
-            await self._fleet.start(demo_plan.first_manifest(self._net))
             stack.callback(self._network.close)
+            await self._fleet.start(demo_plan.first_manifest(self._net))
             callers = await self._connect_ends()
-            listing = asyncio.create_task(self._network.run())
-            stack.callback(listing.cancel)
             await self._drive(callers)
-            await callers.close()
-            self._judge(callers)
-            for settings in self._fleet.settings:
-                await self._add_counters(settings)
+            await self._judge(callers)
         self.result.duration_s = round(time.monotonic() - started_s, 1)
 
     async def _connect_ends(self) -> Callers:
@@ -103,20 +98,21 @@
             self._upstreams[plan.name] = connect_upstream(
                 self._network, plan, self._ledger, self._randomness
             )
-        fabric = self._fleet.settings[0].fabric.pair
-        return connect_callers(self._network, fabric, self._randomness)
+        fabric = self._fleet.settings[0].fabric
+        return connect_callers(self._network, fabric.pair, self._randomness)
 
     async def _drive(self, callers: Callers) -> None:
         """Open all flows, make the changes, and wait for the flows' ends."""
+        listing = asyncio.create_task(self._network.run())
         with contextlib.suppress(TimeoutError):
-            async with (
-                asyncio.timeout(RUN_LIMIT_S),
-                asyncio.TaskGroup() as changes,
-            ):
-                changes.create_task(_open_flows(callers, self._flow_plans))
-                changes.create_task(self._commit_second())
-                changes.create_task(self._restart_one())
-            await _wait_finished(callers)
+            async with asyncio.timeout(DRIVE_LIMIT_S):
+                async with asyncio.TaskGroup() as changes:
+                    changes.create_task(_open_flows(callers, self._flow_plans))
+                    changes.create_task(self._commit_second())
+                    changes.create_task(self._restart_one())
+                await _wait_finished(callers)
+        listing.cancel()
+        await callers.close()
 
     async def _commit_second(self) -> None:
         await asyncio.sleep(COMMIT_AFTER_S)
@@ -139,18 +135,21 @@
         await self._fleet.start_one(RESTARTED_INDEX)
         self.result.restart_s = round(time.monotonic() - started_s, 2)
 
-    def _judge(self, callers: Callers) -> None:
+    async def _judge(self, callers: Callers) -> None:
         result = self.result
         result.judge_flows(callers.records, callers.latencies_s)
         result.judge_upstreams(self.upstreams, self._ledger)
         late_s = self._committed_s + NO_NEW_FLOWS_AFTER_S
-        drained = self._upstreams[demo_plan.DRAINED_UPSTREAM]
-        result.late_flows_on_drained = sum(
-            begun_s > late_s for begun_s in drained.totals.new_flow_times_s
-        )
-        added = self._upstreams[demo_plan.ADDED_UPSTREAM]
-        result.flows_on_added = len(added.totals.new_flow_times_s)
+        drained = self._new_flow_times_s(demo_plan.DRAINED_UPSTREAM)
+        result.late_flows_on_drained = sum(one > late_s for one in drained)
+        added = self._new_flow_times_s(demo_plan.ADDED_UPSTREAM)
+        result.flows_on_added = len(added)
         result.stand_in_errors = self._network.unexpected_errors
+        for settings in self._fleet.settings:
+            await self._add_counters(settings)
+
+    def _new_flow_times_s(self, name: str) -> Sequence[float]:
+        return self._upstreams[name].totals.new_flow_times_s
 
     async def _add_counters(self, settings: NodeSettings) -> None:
         counters = await self._admin.counters(settings)
--- a/packages/tools/src/hibiscushatch_tools/demo_plan.py
+++ b/packages/tools/src/hibiscushatch_tools/demo_plan.py
@@ -14,6 +14,7 @@
 from hibiscushatch_tools.loopback_net import LoopbackNet
 from hibiscushatch_tools.upstream_standin import UpstreamPlan
 
+SERVERS_MAX = 100
 DOMAINS = ('pos-a', 'pos-b', 'pos-c')
 UPSTREAM_CONNECTIONS = 2000
 UPSTREAM_SLOTS = 3
@@ -113,7 +114,7 @@
     """
     shares = [service.share for service in SERVICES]
     for flow_id in range(count):
-        (service_id,) = randomness.choices(range(len(SERVICES)), shares)
+        service_id = randomness.choices(range(len(SERVICES)), shares)[0]
         address, port, protocol = _service_target(manifest.services[service_id])
         is_long = randomness.random() < LONG_FLOW_SHARE
         port_step, host = divmod(flow_id, CALLER_HOSTS)
@@ -166,7 +167,7 @@
     return {
         'name': name,
         'domain': DOMAINS[index % len(DOMAINS)],
-        'address': net.upstream_address(order * CALLER_HOSTS // 2 + index),
+        'address': net.upstream_address(order * SERVERS_MAX + index),
         'slots': UPSTREAM_SLOTS,
         'connections': UPSTREAM_CONNECTIONS,
         'cold_allowance': COLD_ALLOWANCE,
--- a/packages/tools/src/hibiscushatch_tools/fleet_processes.py
+++ b/packages/tools/src/hibiscushatch_tools/fleet_processes.py
@@ -16,6 +16,7 @@
 
 PLATFORM_MODULE = 'hibiscushatch_tools.platform_server'
 POLL_INTERVAL_S = 0.05
+START_LIMIT_S = 30.0
 
 
 class FleetProcesses:
@@ -60,7 +61,8 @@
         for settings in self._fleet:
             process = await self._group.start_entry_vm(settings)
             self._processes.append(process)
-        await self._admin.wait_ready(self._fleet)
+        async with asyncio.timeout(START_LIMIT_S):
+            await self._admin.wait_ready(self._fleet)
 
     async def commit(self, manifest: ManifestDocument) -> None:
         """Write a manifest to the platform."""
@@ -97,7 +99,8 @@
         await self._platform.close()
 
     async def _start_platform(self) -> None:
-        endpoint = yarl.URL(self._fleet[0].platform.endpoints[0])
+        platform = self._fleet[0].platform
+        endpoint = yarl.URL(platform.endpoints[0])
         await self._group.start_module(
             'platform',
             PLATFORM_MODULE,
