--- a/packages/tools/src/hibiscushatch_tools/entry_processes.py
+++ b/packages/tools/src/hibiscushatch_tools/entry_processes.py
@@ -15,6 +15,7 @@
 from hibiscushatch_core.settings import NodeSettings, PeerSettings
 from hibiscushatch_tools.loopback_net import LoopbackNet
 
+ENTRY_VM_MODULE = 'hibiscushatch_node.main'
 PEER_KEY = 'demo-peer-key-0123456789'
 ADMIN_KEY = 'demo-admin-key-0123456789'
 EDGE_PORT = 6635
@@ -75,14 +76,14 @@
 
 
 class ProcessGroup:
-    """All processes of one run, with a folder for their settings and logs.
+    """All processes of one run.
 
-    Args:
-        folder: Where settings and logs are written.
+    Attributes:
+        folder: Where their settings and logs are written.
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._folder = folder
+        self.folder = folder
         self._processes: list[ManagedProcess] = []
 
     async def start_module(
@@ -121,15 +122,26 @@
         Returns:
             The process.
         """
-        path = self._folder / f'{settings.name}.json'
-        path.write_text(settings.model_dump_json())
         return await self.start_module(
-            settings.name, 'hibiscushatch_node.main', ['--settings', str(path)]
+            settings.name, ENTRY_VM_MODULE, self.write_settings(settings)
         )
 
+    def write_settings(self, settings: NodeSettings) -> Sequence[str]:
+        """Write the settings file of an entry VM.
+
+        Args:
+            settings: Its settings.
+
+        Returns:
+            The command line arguments that name the file.
+        """
+        path = self.folder / f'{settings.name}.json'
+        path.write_text(settings.model_dump_json())
+        return ('--settings', str(path))
+
     def log_path(self, name: str) -> pathlib.Path:
         """Name the file that a process logs to."""
-        return self._folder / f'{name}.log'
+        return self.folder / f'{name}.log'
 
     async def stop_all(self) -> None:
         """Stop whatever still runs."""
