--- a/packages/tools/src/hibiscushatch_tools/admin_client.py
+++ b/packages/tools/src/hibiscushatch_tools/admin_client.py
@@ -35,7 +35,7 @@
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
 
-    async def close(self) -> None:
+    async def aclose(self) -> None:
         """Release connections."""
         await self._session.close()
 
@@ -72,6 +72,14 @@
             },
         )
 
+    async def flow_placement(
+        self, settings: NodeSettings, service: str
+    ) -> list[str]:
+        """List the upstream of each bucket's flows, for buckets at rest."""
+        path = admin_api.BUCKETS_PATH.format(service=service)
+        buckets = await self._get(settings, path)
+        return [bucket['bases'][0] for bucket in buckets]
+
     async def wait_ready(self, fleet: Iterable[NodeSettings]) -> None:
         """Wait until all entry VMs of a fleet want packets."""
         for settings in fleet:
@@ -86,7 +94,7 @@
             while await self.generation(settings) < generation:
                 await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _get(self, settings: NodeSettings, path: str) -> dict[str, Any]:
+    async def _get(self, settings: NodeSettings, path: str) -> Any:
         headers = keys.authorization_headers(settings.admin_keys)
         url = _url(settings, path)
         async with self._session.get(url, headers=headers) as response:
--- a/packages/tools/src/hibiscushatch_tools/demo.py
+++ b/packages/tools/src/hibiscushatch_tools/demo.py
@@ -82,7 +82,7 @@
         """Run the demo and fill in the result."""
         started_s = time.monotonic()
         async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(self._admin.close)
+            stack.push_async_callback(self._admin.aclose)
             stack.push_async_callback(self._fleet.close)
             stack.callback(self._network.close)
             await self._fleet.start(demo_plan.first_manifest(self._net))
--- a/packages/tools/tests/daemon_process_test.py
+++ b/packages/tools/tests/daemon_process_test.py
@@ -43,7 +43,7 @@
         await fleet.start(demo_plan.first_manifest(loopback_net.own_net()))
         yield fleet
         await fleet.close()
-        await admin.close()
+        await admin.aclose()
 
 
 @real_time
@@ -82,7 +82,7 @@
         assert not await admin.is_ready(settings)
         await fleet.start_one(0)
         assert await admin.generation(settings) == 1
-        await admin.close()
+        await admin.aclose()
 
 
 @real_time
