--- a/packages/tools/src/hibiscushatch_tools/callers.py
+++ b/packages/ops/src/hibiscushatch_ops/callers.py
@@ -20,7 +20,7 @@
     TCP_SYN,
     UDP,
 )
-from hibiscushatch_tools import segments
+from hibiscushatch_ops import segments
 
 CONNECT_TIMEOUTS_S = (1.0, 2.0, 4.0, 8.0)
 RESEND_TIMEOUTS_S = (0.3, 0.6, 1.2, 2.4, 4.8, 4.8, 4.8, 4.8)
--- a/packages/tools/src/hibiscushatch_tools/demo.py
+++ b/packages/tools/src/hibiscushatch_tools/demo.py
@@ -17,9 +17,9 @@
 import click
 
 from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_ops.callers import Callers, FlowOutcome, FlowPlan
 from hibiscushatch_tools import demo_plan, entry_processes, loopback_net
 from hibiscushatch_tools.admin_client import AdminClient
-from hibiscushatch_tools.callers import Callers, FlowOutcome, FlowPlan
 from hibiscushatch_tools.demo_result import NO_NEW_FLOWS_AFTER_S, DemoResult
 from hibiscushatch_tools.fleet_processes import FleetProcesses
 from hibiscushatch_tools.payload_ledger import PayloadLedger
--- a/packages/tools/src/hibiscushatch_tools/demo_plan.py
+++ b/packages/tools/src/hibiscushatch_tools/demo_plan.py
@@ -10,7 +10,7 @@
     ManifestDocument,
     ServiceDocument,
 )
-from hibiscushatch_tools.callers import FlowPlan
+from hibiscushatch_ops.callers import FlowPlan
 from hibiscushatch_tools.loopback_net import LoopbackNet
 from hibiscushatch_tools.upstream_standin import UpstreamPlan
 
--- a/packages/tools/src/hibiscushatch_tools/demo_result.py
+++ b/packages/tools/src/hibiscushatch_tools/demo_result.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
-from hibiscushatch_tools.callers import (
+from hibiscushatch_ops.callers import (
     BROKEN_OUTCOMES,
     FlowOutcome,
     FlowRecord,
--- a/packages/tools/src/hibiscushatch_tools/fleet_processes.py
+++ b/packages/tools/src/hibiscushatch_tools/fleet_processes.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
+import uuid
 from collections.abc import Sequence
 
 import yarl
 
+from hibiscushatch_core.commit import CommitLimits, commit_manifest
 from hibiscushatch_core.counters import Counters
-from hibiscushatch_core.manifest_blob import MANIFEST_KEY, encode_manifest
 from hibiscushatch_core.manifest_document import ManifestDocument
 from hibiscushatch_core.settings import NodeSettings
 from hibiscushatch_node.adapters.etcd import EtcdPlatform
@@ -66,12 +67,13 @@
 
     async def commit(self, manifest: ManifestDocument) -> None:
         """Write a manifest to the platform."""
-        key = self._fleet[0].platform.key_prefix + MANIFEST_KEY
-        stored = await self._platform.get(key)
-        blob = encode_manifest(manifest, f'generation-{manifest.generation}')
-        revision = stored.mod_revision if stored else 0
-        if not await self._platform.compare_and_swap(key, revision, blob):
-            raise RuntimeError('the manifest changed meanwhile')
+        await commit_manifest(
+            self._platform,
+            self._fleet[0].platform.key_prefix,
+            manifest,
+            uuid.uuid4().hex,
+            CommitLimits(deadline_s=START_LIMIT_S),
+        )
 
     async def stop_one(self, index: int) -> int:
         """Stop an entry VM gracefully.
--- a/packages/tools/src/hibiscushatch_tools/memory_stage.py
+++ b/packages/tools/src/hibiscushatch_tools/memory_stage.py
@@ -16,7 +16,7 @@
     SocketAddress,
 )
 from hibiscushatch_node.entry_vm import EntryVm, EntryVmPorts
-from hibiscushatch_tools.callers import Callers
+from hibiscushatch_ops.callers import Callers
 from hibiscushatch_tools.fabric import (
     FabricMember,
     MemoryFabric,
--- a/packages/tools/src/hibiscushatch_tools/packet_rate.py
+++ b/packages/tools/src/hibiscushatch_tools/packet_rate.py
@@ -22,6 +22,7 @@
 )
 from hibiscushatch_core.packets import TCP, TCP_ACK
 from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_ops.segments import Segment, build_segment
 from hibiscushatch_tools import demo_plan, loopback_net, packet_flood
 from hibiscushatch_tools.admin_client import AdminClient
 from hibiscushatch_tools.bare_forwarder import ReadingMode
@@ -33,7 +34,6 @@
     process_group,
 )
 from hibiscushatch_tools.fleet_processes import FleetProcesses
-from hibiscushatch_tools.segments import Segment, build_segment
 
 FLOWS = 1000
 CALLER_PORT = 10000
--- a/packages/tools/src/hibiscushatch_tools/process_network.py
+++ b/packages/tools/src/hibiscushatch_tools/process_network.py
@@ -14,8 +14,8 @@
 from hibiscushatch_core.manifest_document import TUNNEL_PORT_DEFAULT
 from hibiscushatch_core.settings import NodeSettings
 from hibiscushatch_node.adapters.udp import UdpReceiver, open_udp_socket
+from hibiscushatch_ops.callers import Callers
 from hibiscushatch_tools.admin_client import AdminClient
-from hibiscushatch_tools.callers import Callers
 from hibiscushatch_tools.payload_ledger import PayloadLedger
 from hibiscushatch_tools.upstream_standin import (
     UpstreamPlan,
--- a/packages/tools/src/hibiscushatch_tools/scenario_figures.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_figures.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Iterable
 
-from hibiscushatch_tools.callers import (
+from hibiscushatch_ops.callers import (
     BROKEN_OUTCOMES,
     FlowOutcome,
     FlowRecord,
--- a/packages/tools/src/hibiscushatch_tools/scenario_runner.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_runner.py
@@ -13,8 +13,8 @@
 from hibiscushatch_core.errors import HibiscushatchError
 from hibiscushatch_core.manifest import PROTOCOL_NUMBERS
 from hibiscushatch_node.entry_vm import EntryVm
+from hibiscushatch_ops.callers import FlowPlan
 from hibiscushatch_tools import host_loop
-from hibiscushatch_tools.callers import FlowPlan
 from hibiscushatch_tools.memory_stage import MemoryStage, VmFactory
 from hibiscushatch_tools.scenario_events import Event
 from hibiscushatch_tools.scenario_figures import compute_outcome
--- a/packages/tools/src/hibiscushatch_tools/upstream_standin.py
+++ b/packages/tools/src/hibiscushatch_tools/upstream_standin.py
@@ -20,7 +20,7 @@
     TCP_SYN,
     UDP,
 )
-from hibiscushatch_tools import segments
+from hibiscushatch_ops import segments
 from hibiscushatch_tools.payload_ledger import PayloadLedger
 
 HALF_OPEN_LIMIT_S = 15.0
--- a/packages/tools/tests/callers_test.py
+++ b/packages/tools/tests/callers_test.py
@@ -1,11 +1,11 @@
-"""Tests of hibiscushatch_tools.callers, against the upstream stand-in."""
+"""Tests of hibiscushatch_ops.callers, against the upstream stand-in."""
 
 import asyncio
 
 import standins_fixtures
 
 from hibiscushatch_core import packets
-from hibiscushatch_tools.callers import FlowOutcome
+from hibiscushatch_ops.callers import FlowOutcome
 from hibiscushatch_tools.memory_network import NetworkSettings
 from hibiscushatch_tools.upstream_standin import UpstreamMode
 
--- a/packages/tools/tests/fabric_test.py
+++ b/packages/tools/tests/fabric_test.py
@@ -4,8 +4,8 @@
 
 import standins_fixtures
 
+from hibiscushatch_ops.callers import FlowOutcome
 from hibiscushatch_tools import host_loop
-from hibiscushatch_tools.callers import FlowOutcome
 
 
 async def _packets_to_a_dead_vm_are_lost_until_the_list_is_new() -> None:
--- a/packages/tools/tests/standins_fixtures.py
+++ b/packages/tools/tests/standins_fixtures.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from hibiscushatch_core import packets
-from hibiscushatch_tools.callers import Callers, FlowPlan
+from hibiscushatch_ops.callers import Callers, FlowPlan
 from hibiscushatch_tools.fabric import (
     FabricMember,
     MemoryFabric,
--- a/packages/tools/tests/upstream_standin_test.py
+++ b/packages/tools/tests/upstream_standin_test.py
@@ -5,8 +5,8 @@
 import standins_fixtures
 
 from hibiscushatch_core import packets
-from hibiscushatch_tools import segments
-from hibiscushatch_tools.callers import FlowOutcome
+from hibiscushatch_ops import segments
+from hibiscushatch_ops.callers import FlowOutcome
 
 COLD = standins_fixtures.UPSTREAM.cold_allowance
 LONG_REQUESTS = 100
