--- a/packages/tools/src/hibiscushatch_tools/demo.py
+++ b/packages/tools/src/hibiscushatch_tools/demo.py
@@ -39,6 +39,7 @@
 POLL_INTERVAL_S = 0.1
 RESTARTED_INDEX = 4
 EXIT_BROKEN_PROMISE = 1
+EXIT_INTERRUPTED = 130
 
 
 class Demo:
@@ -104,15 +105,21 @@
     async def _drive(self, callers: Callers) -> None:
         """Open all flows, make the changes, and wait for the flows' ends."""
         listing = asyncio.create_task(self._network.run())
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(DRIVE_LIMIT_S):
-                async with asyncio.TaskGroup() as changes:
-                    changes.create_task(_open_flows(callers, self._flow_plans))
-                    changes.create_task(self._commit_second())
-                    changes.create_task(self._restart_one())
+                await self._change_under_load(callers)
                 await _wait_finished(callers)
-        listing.cancel()
-        await callers.close()
+        except TimeoutError:
+            click.echo(f'not all flows ended within {DRIVE_LIMIT_S} s')
+        finally:
+            listing.cancel()
+            await callers.close()
+
+    async def _change_under_load(self, callers: Callers) -> None:
+        async with asyncio.TaskGroup() as changes:
+            changes.create_task(_open_flows(callers, self._flow_plans))
+            changes.create_task(self._commit_second())
+            changes.create_task(self._restart_one())
 
     async def _commit_second(self) -> None:
         await asyncio.sleep(COMMIT_AFTER_S)
@@ -218,9 +225,14 @@
 def main(flows: int, seed: int) -> None:
     """Run nine entry VMs through planned changes under load.
 
-    The last line is a JSON object; the exit code is 1 when a promise broke.
+    The last line is a JSON object; the exit code is 1 when a promise broke
+    and 130 when the run was interrupted.
     """
-    demo = asyncio.run(run_demo(flows, seed))
+    try:
+        demo = asyncio.run(run_demo(flows, seed))
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        click.echo('interrupted; all processes are stopped', err=True)
+        sys.exit(EXIT_INTERRUPTED)
     print_upstreams(demo.upstreams)
     broken = tuple(demo.result.broken_promises())
     for promise in broken:
