--- a/packages/tools/src/hibiscushatch_tools/admin_client.py
+++ b/packages/tools/src/hibiscushatch_tools/admin_client.py
@@ -10,7 +10,7 @@
 from hibiscushatch_core.settings import NodeSettings
 from hibiscushatch_node.adapters import admin_api, keys
 
-CALL_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.1
 
 
