Let bucket moves of the demo come to their end

With the default idle timeout of 300 s the 42 buckets of the drained upstream stayed in motion for the whole run, and the added upstream kept its one bucket for 12 s though it was warm. With 6 s they come to rest within 10 s and the added upstream has 9 buckets by then.

--- a/packages/tools/src/hibiscushatch_tools/demo_plan.py
+++ b/packages/tools/src/hibiscushatch_tools/demo_plan.py
@@ -20,6 +20,8 @@
 UPSTREAM_SLOTS = 3
 COLD_ALLOWANCE = 60
 WARM_UP_S = 3.0
+# Lets a bucket's move come to its end within the run.
+IDLE_TIMEOUT_S = 6.0
 WORK_S = 0.004
 SERVICE_PORT = 443
 CALLER_HOSTS = 200
@@ -149,6 +151,7 @@
                     'name': service.name,
                     'address': service.address,
                     'port': SERVICE_PORT,
+                    'idle_timeout_s': IDLE_TIMEOUT_S,
                     'upstreams': [
                         _upstream(net, order, service.name, index, drained)
                         for index in range(counts[service.name])
