Ramp the allowance of a warm upstream and announce falling claims in steps

Cause: an upstream that is not warm when its warm-up time has passed got its full number at once, and flows ending one by one over a target caused an announcement a tick. Change: the allowance doubles every 2 s after the warm-up; a claim above its target is announced anew when it fell by 1/32 of the limit.

--- a/packages/core/src/hibiscushatch_core/shares.py
+++ b/packages/core/src/hibiscushatch_core/shares.py
@@ -25,6 +25,7 @@
 from hibiscushatch_core import hashing, share_division
 
 TURN_S = 2.0
+LOWERING_STEPS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +134,18 @@
         """Whether parts are below one flow and so change with time."""
         return 0 < self.limit < sum(map(bool, self.weights.values()))
 
+    @property
+    def is_announcement_due(self) -> bool:
+        """Whether the claim rose, or fell by more than a small step.
+
+        Flows that end one by one while the claim exceeds the target would
+        otherwise cause an announcement each.
+        """
+        if self.granted <= self.target or self.claim > self.announced:
+            return self.claim != self.announced
+        step = max(1, self.limit // LOWERING_STEPS)
+        return self.announced - self.claim >= step
+
     def lower(self) -> None:
         """Give up what exceeds the target and is not in use."""
         bound = max(self.target, self.open_flows)
@@ -454,7 +467,7 @@
             share.wanted = share.held + divided[self._own_name]
 
     def _announce(self, share: _Share) -> None:
-        if share.claim != share.announced:
+        if share.is_announcement_due:
             self._revision += 1
             share.revision = self._revision
             share.announced = share.claim
--- a/packages/core/src/hibiscushatch_core/warmth.py
+++ b/packages/core/src/hibiscushatch_core/warmth.py
@@ -18,6 +18,8 @@
 from hibiscushatch_core.manifest import Upstream
 
 REPEATED_TURN_S = 1.0
+RAMP_DOUBLING_S = 2.0
+RAMP_DOUBLINGS_MAX = 20
 MS_PER_S = 1000
 
 
@@ -113,7 +115,7 @@
         self._changed: set[str] = set()
 
     def is_warm(self, upstream: Upstream, now: float) -> bool:
-        """Tell whether an upstream bears its full number of flows.
+        """Tell whether the warm-up time of an upstream has passed.
 
         Args:
             upstream: The upstream as the manifest has it.
@@ -133,10 +135,27 @@
         return state.last_start + upstream.warm_up_s
 
     def allowance(self, upstream: Upstream, now: float) -> int:
-        """Return how many open flows an upstream bears now."""
-        if self.is_warm(upstream, now):
+        """Return how many open flows to place on an upstream at most.
+
+        Once it is warm the allowance doubles at fixed intervals, from the
+        cold one to the full number. Should the upstream not be warm after
+        all, its answers show that before it has many flows too many.
+
+        Args:
+            upstream: The upstream as the manifest has it.
+            now: Seconds.
+
+        Returns:
+            Open flows.
+        """
+        warm_at = self.warm_at(upstream)
+        if warm_at is None or now < warm_at:
+            return min(upstream.cold_allowance, upstream.connections)
+        doublings = 1 + int((now - warm_at) // RAMP_DOUBLING_S)
+        if doublings > RAMP_DOUBLINGS_MAX:
             return upstream.connections
-        return min(upstream.cold_allowance, upstream.connections)
+        ramped = upstream.cold_allowance << doublings
+        return min(ramped, upstream.connections)
 
     def flow_placed(self, name: str, now: float) -> None:
         """Note that an upstream was given a new flow."""
