Split the ledger into modules and bound new flows by a lower limit at once

Cause: one module held messages, shares and the ledger, and a lowered limit bound new flows only at the next refresh. Change: claim_messages, own_share and shares; remove_upstream; a credit that narrows the use of a grant; confirmations are asked for only while a raise waits. Conclusion: no change of the protocol.

--- a/packages/core/src/hibiscushatch_core/shares.py
+++ b/packages/core/src/hibiscushatch_core/shares.py
@@ -20,52 +20,14 @@
 """
 
 import dataclasses
+import sys
 from collections.abc import Iterator, Mapping
 
 from hibiscushatch_core import hashing, share_division
+from hibiscushatch_core.claim_messages import ClaimAnnouncement, ClaimMessage
+from hibiscushatch_core.own_share import OwnShare
 
 TURN_S = 2.0
-LOWERING_STEPS = 32
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAnnouncement:
-    """What one entry VM claims of one upstream.
-
-    Attributes:
-        upstream: Name of the upstream.
-        claim: Open flows that the sender may come to own.
-    """
-
-    upstream: str
-    claim: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimMessage:
-    """Changed claims of one entry VM, and how far it knows the receiver's.
-
-    Attributes:
-        sender: Name of the sending entry VM.
-        incarnation: Number that rises with each start of the sender.
-        members: Hash of the names of the members that the sender knows.
-        since: Revision after which all changes are in this message.
-        revision: Revision of the sender's ledger.
-        announcements: Claims changed after ``since``.
-        confirmed_incarnation: Incarnation of the receiver that is known.
-        confirmed_revision: Revision of the receiver's ledger that is known.
-        reply_wanted: Whether the sender waits for a confirmation.
-    """
-
-    sender: str
-    incarnation: int
-    members: int
-    since: int
-    revision: int
-    announcements: tuple[ClaimAnnouncement, ...]
-    confirmed_incarnation: int
-    confirmed_revision: int
-    reply_wanted: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,80 +53,6 @@
     claims: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(slots=True)
-class _Share:
-    """The own part of one upstream's limit.
-
-    Attributes:
-        limit: Open flows that the upstream bears from all entry VMs.
-        weights: Buckets that point at the upstream, by their owner's name.
-        open_flows: Open flows that this entry VM owns.
-        target: Its part of the limit by weight.
-        granted: Open flows that it may own.
-        wanted: A higher grant that was announced, or the granted one.
-        wanted_revision: Revision at which ``wanted`` was announced.
-        announced: The claim that was announced last.
-        revision: Revision of that announcement.
-        others: Sum of the claims of all other members.
-    """
-
-    limit: int = 0
-    weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    open_flows: int = 0
-    target: int = 0
-    granted: int = 0
-    wanted: int = 0
-    wanted_revision: int = 0
-    announced: int = 0
-    revision: int = 0
-    others: int = 0
-
-    @property
-    def claim(self) -> int:
-        """What has to be announced."""
-        return max(self.wanted, self.held)
-
-    @property
-    def held(self) -> int:
-        """What other members must leave to this one."""
-        return max(self.granted, self.open_flows)
-
-    @property
-    def has_turns(self) -> bool:
-        """Whether parts are below one flow and so change with time."""
-        return 0 < self.limit < sum(map(bool, self.weights.values()))
-
-    @property
-    def is_announcement_due(self) -> bool:
-        """Whether the claim rose, or fell by more than a small step.
-
-        Flows that end one by one while the claim exceeds the target would
-        otherwise cause an announcement each.
-        """
-        if self.granted <= self.target or self.claim > self.announced:
-            return self.claim != self.announced
-        step = max(1, self.limit // LOWERING_STEPS)
-        return self.announced - self.claim >= step
-
-    def lower(self) -> None:
-        """Give up what exceeds the target and is not in use."""
-        bound = max(self.target, self.open_flows)
-        self.granted = min(self.granted, bound)
-        self.wanted = max(self.granted, min(self.wanted, self.target))
-        self._settle()
-
-    def grant(self) -> None:
-        """Take into use what was announced, as far as there is room."""
-        room = min(self.wanted, self.limit - self.others)
-        self.granted = max(self.granted, room)
-        self.wanted = self.granted
-        self._settle()
-
-    def _settle(self) -> None:
-        if self.wanted == self.granted:
-            self.wanted_revision = 0
-
-
 class ShareLedger:
     """The claims of one entry VM and those that it knows of the others.
 
@@ -186,10 +74,11 @@
         self._turn = 0
         self._digest = hashing.hash_text(own_name)
         self._members: dict[str, _Member] = {}
-        self._shares: dict[str, _Share] = {}
+        self._shares: dict[str, OwnShare] = {}
         self._changed: set[str] = set()
         self._waiting: set[str] = set()
         self._turning: set[str] = set()
+        self._leaving: set[str] = set()
 
     @property
     def member_names(self) -> frozenset[str]:
@@ -244,11 +133,16 @@
         return silent
 
     def set_limit(self, upstream: str, limit: int) -> None:
-        """Set how many open flows an upstream bears from all entry VMs."""
+        """Set how many open flows an upstream bears from all entry VMs.
+
+        A lower limit holds for new flows at once; open ones stay.
+        """
         share = self._share_of(upstream)
-        if share.limit != limit:
-            share.limit = limit
-            self._changed.add(upstream)
+        if share.limit == limit:
+            return
+        share.limit = limit
+        self._changed.add(upstream)
+        share.lower(self._divide(upstream, share).get(self._own_name, 0))
 
     def set_weights(self, upstream: str, weights: Mapping[str, int]) -> None:
         """Set how many buckets of an upstream each member owns.
@@ -262,16 +156,33 @@
             share.weights = dict(weights)
             self._changed.add(upstream)
 
-    def may_open(self, upstream: str) -> bool:
-        """Tell whether one more flow may be opened on an upstream."""
-        return self.room(upstream) > 0
+    def remove_upstream(self, upstream: str) -> None:
+        """Give up the claim on an upstream that the manifest lists no more.
+
+        Its share is dropped when its last flow has ended and all members have
+        confirmed that nothing is claimed.
+        """
+        if upstream in self._shares:
+            self.set_limit(upstream, 0)
+            self.set_weights(upstream, {})
+            self._leaving.add(upstream)
+
+    def may_open(self, upstream: str, credit: float = 1) -> bool:
+        """Tell whether one more flow may be opened on an upstream.
 
-    def room(self, upstream: str) -> int:
-        """Return how many more flows may be opened on an upstream."""
+        Args:
+            upstream: Name of the upstream.
+            credit: Factor by which the grant is used; one flow of a grant
+                may be used at any credit.
+
+        Returns:
+            True when the grant has room.
+        """
         share = self._shares.get(upstream)
         if share is None:
-            return 0
-        return max(0, min(share.granted, share.limit) - share.open_flows)
+            return False
+        usable = max(1, int(share.granted * credit))
+        return share.open_flows < min(usable, share.granted)
 
     def open_flows(self, upstream: str) -> int:
         """Return how many open flows this entry VM owns on an upstream."""
@@ -313,6 +224,8 @@
         self._changed = set()
         for upstream in sorted(todo):
             self._refresh_share(upstream, self._shares[upstream], confirmed)
+        for upstream in tuple(self._leaving):
+            self._drop_unused(upstream, confirmed)
 
     def announcements(self, since: int = 0) -> Iterator[ClaimAnnouncement]:
         """Yield the own claims that changed after a revision."""
@@ -325,7 +238,7 @@
     def has_news_for(self, member: str) -> bool:
         """Tell whether a message to a member is due."""
         known = self._members[member]
-        return known.reply_due or known.confirmed < self._revision
+        return known.reply_due or self._is_reply_wanted(known)
 
     def message_for(self, member: str) -> ClaimMessage:
         """Build the message for a member and count it as sent.
@@ -347,7 +260,7 @@
             announcements=tuple(self.announcements(known.holds)),
             confirmed_incarnation=known.incarnation,
             confirmed_revision=known.revision,
-            reply_wanted=known.confirmed < self._revision,
+            reply_wanted=self._is_reply_wanted(known),
         )
 
     def receive(self, message: ClaimMessage, now: float) -> None:
@@ -375,13 +288,23 @@
         if message.reply_wanted or message.announcements:
             member.reply_due = True
 
-    def _share_of(self, upstream: str) -> _Share:
+    def _is_reply_wanted(self, member: _Member) -> bool:
+        if self._waiting or self._leaving:
+            return member.confirmed < self._revision
+        return member.holds < self._revision
+
+    def _divide(self, upstream: str, share: OwnShare) -> dict[str, int]:
+        return share_division.divide_by_largest_remainder(
+            share.limit, share.weights, upstream, self._turn
+        )
+
+    def _share_of(self, upstream: str) -> OwnShare:
         if upstream not in self._shares:
             others = sum(
                 member.claims.get(upstream, 0)
                 for member in self._members.values()
             )
-            self._shares[upstream] = _Share(others=others)
+            self._shares[upstream] = OwnShare(others=others)
         return self._shares[upstream]
 
     def _renew_digest(self) -> None:
@@ -399,10 +322,11 @@
         member.revision = message.revision
         for announcement in message.announcements:
             self._count_claim(member, announcement)
+            upstream = sys.intern(announcement.upstream)
             if announcement.claim:
-                member.claims[announcement.upstream] = announcement.claim
+                member.claims[upstream] = announcement.claim
             else:
-                member.claims.pop(announcement.upstream, None)
+                member.claims.pop(upstream, None)
 
     def _count_claim(
         self, member: _Member, announcement: ClaimAnnouncement
@@ -433,13 +357,10 @@
         )
 
     def _refresh_share(
-        self, upstream: str, share: _Share, confirmed: int
+        self, upstream: str, share: OwnShare, confirmed: int
     ) -> None:
-        parts = share_division.divide_by_largest_remainder(
-            share.limit, share.weights, upstream, self._turn
-        )
-        share.target = parts.get(self._own_name, 0)
-        share.lower()
+        parts = self._divide(upstream, share)
+        share.lower(parts.get(self._own_name, 0))
         if share.wanted > share.granted and confirmed >= share.wanted_revision:
             share.grant()
         if share.wanted == share.granted and self._active:
@@ -448,7 +369,7 @@
         self._watch(upstream, share)
 
     def _ask(
-        self, upstream: str, share: _Share, parts: Mapping[str, int]
+        self, upstream: str, share: OwnShare, parts: Mapping[str, int]
     ) -> None:
         free = share.limit - share.others - share.held
         if free <= 0 or share.target <= share.held:
@@ -466,7 +387,7 @@
         if divided[self._own_name]:
             share.wanted = share.held + divided[self._own_name]
 
-    def _announce(self, share: _Share) -> None:
+    def _announce(self, share: OwnShare) -> None:
         if share.is_announcement_due:
             self._revision += 1
             share.revision = self._revision
@@ -474,7 +395,7 @@
         if share.wanted > share.granted and share.wanted_revision == 0:
             share.wanted_revision = share.revision
 
-    def _watch(self, upstream: str, share: _Share) -> None:
+    def _watch(self, upstream: str, share: OwnShare) -> None:
         self._waiting.discard(upstream)
         self._turning.discard(upstream)
         if share.wanted > share.granted:
@@ -482,6 +403,15 @@
         if share.has_turns or share.granted < share.target:
             self._turning.add(upstream)
 
+    def _drop_unused(self, upstream: str, confirmed: int) -> None:
+        share = self._shares[upstream]
+        if share.limit or share.weights:
+            self._leaving.discard(upstream)
+        elif not share.announced and confirmed >= share.revision:
+            self._leaving.discard(upstream)
+            self._changed.discard(upstream)
+            self._shares.pop(upstream)
+
     def _start_turn(self, turn: int) -> None:
         if turn != self._turn:
             self._turn = turn
--- a/packages/core/tests/shares_test.py
+++ b/packages/core/tests/shares_test.py
@@ -98,6 +98,11 @@
             by_name = dict(zip(NAMES, weights, strict=True))
             self.ledgers[name].set_weights(UPSTREAM, by_name)
 
+    def limit_to(self, name: str, limit: int) -> None:
+        """Let one entry VM see a limit that is not above the true one."""
+        if name in self.ledgers:
+            self.ledgers[name].set_limit(UPSTREAM, min(limit, self.limit))
+
     def open(self, name: str) -> None:
         """Open a flow where the ledger allows it."""
         if name in self.ledgers and self.ledgers[name].may_open(UPSTREAM):
@@ -145,6 +150,7 @@
             if name not in self.ledgers:
                 self.start(name)
             self.weigh(name, (1, 2, 3, 4))
+            self.limit_to(name, self.limit)
         self.settle()
 
 
@@ -163,6 +169,7 @@
         strategies.tuples(number, number, number, number),
     ),
     strategies.tuples(strategies.just('cut_off'), one_name, one_name),
+    strategies.tuples(strategies.just('limit_to'), one_name, number),
     strategies.tuples(strategies.just('stop'), one_name),
     strategies.tuples(strategies.just('start'), one_name),
     strategies.tuples(strategies.just('learn_end'), one_name, one_name),
@@ -204,6 +211,7 @@
         (3, ('lose', source.randrange(8))),
         (1, ('weigh', name, weights)),
         (1, ('pass_time',)),
+        (1, ('limit_to', name, source.randrange(80))),
         (0.2, ('cut_off', name, other)),
         (0.1, ('join_again',)),
         (0.2, ('stop', name)),
@@ -357,6 +365,7 @@
         ledger.opened(UPSTREAM)
     ledger.set_limit(UPSTREAM, 3)
     assert not ledger.may_open(UPSTREAM)
+    assert ledger.granted(UPSTREAM) == 10
     for open_flows in range(9, 2, -1):
         ledger.closed(UPSTREAM)
         ledger.refresh(0)
@@ -364,3 +373,21 @@
         assert not ledger.may_open(UPSTREAM)
     ledger.closed(UPSTREAM)
     assert ledger.may_open(UPSTREAM)
+
+
+def test_a_removed_upstream_is_dropped_after_its_last_flow() -> None:
+    ledgers = {name: ledger_of(name) for name in 'ab'}
+    ledgers['b'].set_weights(UPSTREAM, {'a': 1})
+    talk(ledgers, 'ab')
+    ledgers['a'].opened(UPSTREAM)
+    ledgers['a'].remove_upstream(UPSTREAM)
+    talk(ledgers, 'ab')
+    assert ledgers['a'].open_flows(UPSTREAM) == 1
+    assert len(tuple(ledgers['a'].announcements())) == 1
+    ledgers['a'].closed(UPSTREAM)
+    talk(ledgers, 'ab')
+    assert not tuple(ledgers['a'].announcements())
+    ledgers['a'].set_limit(UPSTREAM, 10)
+    ledgers['a'].set_weights(UPSTREAM, {'a': 1})
+    talk(ledgers, 'ab')
+    assert ledgers['a'].granted(UPSTREAM) == 10
