Damp flapping upstreams by later probes and spare credit on lost packets

Change: each recent death doubles the time to the first probe; a single unanswered attempt cuts no credit.

--- a/packages/core/src/hibiscushatch_core/upstream_health.py
+++ b/packages/core/src/hibiscushatch_core/upstream_health.py
@@ -4,7 +4,8 @@
 the factor by which the share of the upstream is used, and answers add to it
 (additive increase, multiplicative decrease). Several failures without an
 answer between them make the upstream suspect and then dead; a dead one is
-probed with single flows and needs more answers the oftener it died lately.
+probed with single flows, the later the oftener it died of late. A single
+attempt without an answer may be a lost packet and cuts no credit.
 What its health endpoint reports is a hint: it speeds up a verdict that the
 packets support and never makes one.
 """
@@ -47,9 +48,9 @@
         dead_failures: Failures in a row that make it dead.
         dead_after_s: Time that they have to span, in seconds.
         answers_to_return: Answers in a row that make it usable again.
-        answers_max: Most that are asked for after repeated deaths.
         damping_half_life_s: Time in which half a death is forgotten.
-        probe_min_s: First interval between probes of a dead one.
+        probe_min_s: Time before the first probe after a first death; it
+            doubles with each death that is not forgotten.
         probe_max_s: Longest interval between probes.
         slow_factor: Handshakes this much longer than usual are slow.
         slow_floor_s: Handshakes shorter than this are never slow.
@@ -65,7 +66,6 @@
     dead_failures: int = 4
     dead_after_s: float = 1.0
     answers_to_return: int = 2
-    answers_max: int = 16
     damping_half_life_s: float = 60.0
     probe_min_s: float = 1.0
     probe_max_s: float = 30.0
@@ -131,9 +131,8 @@
         self._failures = 0
         self._answers += 1
         self._note_handshake(handshake_s)
-        needed = self._answers_needed(now)
-        self._probes.reset()
-        if self._answers >= needed:
+        self._probes.hasten()
+        if self._answers >= self._settings.answers_to_return:
             self._verdict = Verdict.USABLE
         if not self._is_hinted(now):
             step = self._settings.credit_step
@@ -152,7 +151,8 @@
         self._answers = 0
         if failure is not Failure.UNREACHABLE:
             self._cold_signs += 1
-        self._cut_credit(now)
+        if failure is Failure.REFUSED or self._failures > 1:
+            self._cut_credit(now)
         self._judge_failures(now)
 
     def hint_unhealthy(self, now: float) -> None:
@@ -210,16 +210,11 @@
         if failures >= settings.dead_failures and is_long:
             self._verdict = Verdict.DEAD
             self._deaths.add(now)
+            self._probes.begin(now, self._deaths.value_at(now))
             self._credit = settings.credit_floor
         elif failures >= settings.suspect_failures:
             self._verdict = Verdict.SUSPECT
 
-    def _answers_needed(self, now: float) -> int:
-        settings = self._settings
-        deaths = self._deaths.value_at(now)
-        needed = settings.answers_to_return * 2 ** max(0.0, deaths - 1)
-        return min(settings.answers_max, round(needed))
-
     def _is_hinted(self, now: float) -> bool:
         return self._hint_until is not None and now < self._hint_until
 
@@ -249,16 +244,27 @@
     def __init__(self, settings: HealthSettings) -> None:
         self._settings = settings
         self._interval_s = settings.probe_min_s
-        self._due_at: float | None = None
+        self._due_at = 0.0
+
+    def begin(self, now: float, deaths: float) -> None:
+        """Set the first interval after a death.
+
+        Args:
+            now: Seconds.
+            deaths: How often it died of late, this time included.
+        """
+        growth = _PROBE_GROWTH ** max(0.0, deaths - 1)
+        first_s = self._settings.probe_min_s * growth
+        self._interval_s = min(self._settings.probe_max_s, first_s)
+        self._due_at = now + self._interval_s
 
-    def reset(self) -> None:
-        """Go back to the shortest interval."""
-        self._interval_s = self._settings.probe_min_s
-        self._due_at = None
+    def hasten(self) -> None:
+        """Let the next probe follow an answer at once."""
+        self._due_at = 0.0
 
     def is_due(self, now: float) -> bool:
         """Tell whether the interval has passed."""
-        return self._due_at is None or now >= self._due_at
+        return now >= self._due_at
 
     def start(self, now: float, randomness: random.Random) -> None:
         """Begin the next interval, between half and one and a half."""
