--- a/packages/core/src/hibiscushatch_core/shares.py
+++ b/packages/core/src/hibiscushatch_core/shares.py
@@ -194,6 +194,11 @@
         share = self._shares.get(upstream)
         return share.granted if share else 0
 
+    def is_raising(self, upstream: str) -> bool:
+        """Tell whether more of an upstream is due here than is granted yet."""
+        share = self._shares.get(upstream)
+        return share is not None and share.granted < share.target
+
     def opened(self, upstream: str) -> None:
         """Count a flow that was opened or taken over."""
         share = self._share_of(upstream)
