Ask a member for a confirmation again only after a while

Cause: two members with different member lists can't confirm each other, and each message of one made the other's due; an entry VM that sends whenever a message is due so exchanged them without a pause. Change: a member is asked once for each revision and member list, and again after 0.5 s; only an asking message is answered. Figures: in the new test 50 turns in one instant with differing lists send 2 to 6 messages; asking without the pause fails it. Conclusion: has_news_for can be acted on at once.

--- a/packages/core/src/hibiscushatch_core/shares.py
+++ b/packages/core/src/hibiscushatch_core/shares.py
@@ -28,6 +28,7 @@
 from hibiscushatch_core.own_share import OwnShare
 
 TURN_S = 2.0
+ASK_AGAIN_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +42,9 @@
         holds: Revision of the own ledger that it knows.
         confirmed: The same, when it had the same member list.
         reply_due: Whether it waits for a message.
+        asked_revision: Revision whose confirmation it was asked for last; -1
+            when it is to be asked again.
+        asked_at: When that was, in seconds.
         claims: Its latest claim for each upstream where it has one.
     """
 
@@ -50,6 +54,8 @@
     holds: int = 0
     confirmed: int = 0
     reply_due: bool = True
+    asked_revision: int = -1
+    asked_at: float = 0
     claims: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -72,6 +78,7 @@
         self._revision = 0
         self._active = False
         self._turn = 0
+        self._now = 0.0
         self._digest = hashing.hash_text(own_name)
         self._members: dict[str, _Member] = {}
         self._shares: dict[str, OwnShare] = {}
@@ -219,6 +226,7 @@
         Args:
             now: Wall-clock seconds; clocks that differ only change turns.
         """
+        self._now = now
         self._start_turn(int(now // TURN_S))
         confirmed = self._confirmed_by_all()
         todo = self._changed | {
@@ -241,9 +249,13 @@
                 yield ClaimAnnouncement(upstream, share.announced)
 
     def has_news_for(self, member: str) -> bool:
-        """Tell whether a message to a member is due."""
+        """Tell whether a message to a member is due.
+
+        A member that did not confirm what it was asked for is asked again
+        after a while only, so it is safe to send whenever this is true.
+        """
         known = self._members[member]
-        return known.reply_due or self._is_reply_wanted(known)
+        return known.reply_due or self._is_to_be_asked(known)
 
     def message_for(self, member: str) -> ClaimMessage:
         """Build the message for a member and count it as sent.
@@ -255,6 +267,10 @@
             All changes that the member has not confirmed yet.
         """
         known = self._members[member]
+        is_asked = self._is_to_be_asked(known)
+        if is_asked:
+            known.asked_revision = self._revision
+            known.asked_at = self._now
         known.reply_due = False
         return ClaimMessage(
             sender=self._own_name,
@@ -265,7 +281,7 @@
             announcements=tuple(self.announcements(known.holds)),
             confirmed_incarnation=known.incarnation,
             confirmed_revision=known.revision,
-            reply_wanted=self._is_reply_wanted(known),
+            reply_wanted=is_asked,
         )
 
     def receive(self, message: ClaimMessage, now: float) -> None:
@@ -290,13 +306,16 @@
         if is_complete and message.revision > member.revision:
             self._take_claims(member, message)
         self._take_confirmation(member, message, is_complete=is_complete)
-        if message.reply_wanted or message.announcements:
+        if message.reply_wanted:
             member.reply_due = True
 
-    def _is_reply_wanted(self, member: _Member) -> bool:
-        if self._waiting or self._leaving:
-            return member.confirmed < self._revision
-        return member.holds < self._revision
+    def _is_to_be_asked(self, member: _Member) -> bool:
+        is_raising = bool(self._waiting or self._leaving)
+        known = member.confirmed if is_raising else member.holds
+        if known >= self._revision:
+            return False
+        is_old = self._now - member.asked_at >= ASK_AGAIN_S
+        return is_old or member.asked_revision < self._revision
 
     def _divide(self, upstream: str, share: OwnShare) -> dict[str, int]:
         return share_division.divide_by_largest_remainder(
@@ -317,6 +336,7 @@
         self._digest = hashing.hash_text('\n'.join(names))
         for member in self._members.values():
             member.reply_due = True
+            member.asked_revision = -1
 
     def _drop_claims(self, member: _Member) -> None:
         for upstream in member.claims:
--- a/packages/core/tests/shares_test.py
+++ b/packages/core/tests/shares_test.py
@@ -1,6 +1,7 @@
 """Tests of hibiscushatch_core.shares and share_division."""
 
 import dataclasses
+import itertools
 import random
 
 from hypothesis import given, settings, strategies
@@ -12,6 +13,7 @@
 )
 
 UPSTREAM = 'server-1'
+SECONDS = itertools.count()
 HOLD_S = 300.0
 NAMES = ('vm-a', 'vm-b', 'vm-c', 'vm-d')
 REPEATABLE = settings(
@@ -132,6 +134,7 @@
 
     def settle(self, rounds: int = 12) -> None:
         """Exchange messages in order for some rounds."""
+        self.pass_time()
         for _ in range(rounds):
             for name in self.ledgers:
                 self.refresh(name)
@@ -245,8 +248,9 @@
 def talk(ledgers: dict[str, ShareLedger], *pairs: str, rounds: int = 6) -> None:
     """Let pairs of ledgers, such as 'ab', exchange what is due."""
     for _ in range(rounds):
+        now = next(SECONDS)
         for ledger in ledgers.values():
-            ledger.refresh(0)
+            ledger.refresh(now)
         for sender, receiver in (*pairs, *map(''.join, map(reversed, pairs))):
             ledgers[sender].join(receiver, 0)
             if ledgers[sender].has_news_for(receiver):
@@ -391,3 +395,24 @@
     ledgers['a'].set_weights(UPSTREAM, {'a': 1})
     talk(ledgers, 'ab')
     assert ledgers['a'].granted(UPSTREAM) == 10
+
+
+def test_members_that_disagree_do_not_answer_each_other_for_ever() -> None:
+    ledgers = {name: ledger_of(name) for name in 'ab'}
+    ledgers['a'].join('dead', 0)
+    talk(ledgers, 'ab')
+    assert granted_sum(ledgers) == 0
+    for ledger in ledgers.values():
+        ledger.set_limit(UPSTREAM, 9)
+    sent = 0
+    for _ in range(50):
+        for sender, receiver in ('ab', 'ba'):
+            ledgers[sender].refresh(1000)
+            if ledgers[sender].has_news_for(receiver):
+                message = ledgers[sender].message_for(receiver)
+                ledgers[receiver].receive(message, 1000)
+                sent += 1
+    assert 2 <= sent <= 6
+    ledgers['a'].forget('dead')
+    talk(ledgers, 'ab')
+    assert granted_sum(ledgers) == 9
