--- a/packages/core/tests/shares_test.py
+++ b/packages/core/tests/shares_test.py
@@ -1,6 +1,7 @@
 """Tests of hibiscushatch_core.shares and share_division."""
 
 import dataclasses
+import itertools
 import random
 
 from hypothesis import given, settings, strategies
@@ -12,6 +13,7 @@
 )
 
 UPSTREAM = 'server-1'
+SECONDS = itertools.count()
 HOLD_S = 300.0
 NAMES = ('vm-a', 'vm-b', 'vm-c', 'vm-d')
 REPEATABLE = settings(
@@ -98,6 +100,11 @@
             by_name = dict(zip(NAMES, weights, strict=True))
             self.ledgers[name].set_weights(UPSTREAM, by_name)
 
+    def limit_to(self, name: str, limit: int) -> None:
+        """Let one entry VM see a limit that is not above the true one."""
+        if name in self.ledgers:
+            self.ledgers[name].set_limit(UPSTREAM, min(limit, self.limit))
+
     def open(self, name: str) -> None:
         """Open a flow where the ledger allows it."""
         if name in self.ledgers and self.ledgers[name].may_open(UPSTREAM):
@@ -127,6 +134,7 @@
 
     def settle(self, rounds: int = 12) -> None:
         """Exchange messages in order for some rounds."""
+        self.pass_time()
         for _ in range(rounds):
             for name in self.ledgers:
                 self.refresh(name)
@@ -145,6 +153,7 @@
             if name not in self.ledgers:
                 self.start(name)
             self.weigh(name, (1, 2, 3, 4))
+            self.limit_to(name, self.limit)
         self.settle()
 
 
@@ -163,6 +172,7 @@
         strategies.tuples(number, number, number, number),
     ),
     strategies.tuples(strategies.just('cut_off'), one_name, one_name),
+    strategies.tuples(strategies.just('limit_to'), one_name, number),
     strategies.tuples(strategies.just('stop'), one_name),
     strategies.tuples(strategies.just('start'), one_name),
     strategies.tuples(strategies.just('learn_end'), one_name, one_name),
@@ -204,6 +214,7 @@
         (3, ('lose', source.randrange(8))),
         (1, ('weigh', name, weights)),
         (1, ('pass_time',)),
+        (1, ('limit_to', name, source.randrange(80))),
         (0.2, ('cut_off', name, other)),
         (0.1, ('join_again',)),
         (0.2, ('stop', name)),
@@ -237,8 +248,9 @@
 def talk(ledgers: dict[str, ShareLedger], *pairs: str, rounds: int = 6) -> None:
     """Let pairs of ledgers, such as 'ab', exchange what is due."""
     for _ in range(rounds):
+        now = next(SECONDS)
         for ledger in ledgers.values():
-            ledger.refresh(0)
+            ledger.refresh(now)
         for sender, receiver in (*pairs, *map(''.join, map(reversed, pairs))):
             ledgers[sender].join(receiver, 0)
             if ledgers[sender].has_news_for(receiver):
@@ -357,6 +369,7 @@
         ledger.opened(UPSTREAM)
     ledger.set_limit(UPSTREAM, 3)
     assert not ledger.may_open(UPSTREAM)
+    assert ledger.granted(UPSTREAM) == 10
     for open_flows in range(9, 2, -1):
         ledger.closed(UPSTREAM)
         ledger.refresh(0)
@@ -364,3 +377,42 @@
         assert not ledger.may_open(UPSTREAM)
     ledger.closed(UPSTREAM)
     assert ledger.may_open(UPSTREAM)
+
+
+def test_a_removed_upstream_is_dropped_after_its_last_flow() -> None:
+    ledgers = {name: ledger_of(name) for name in 'ab'}
+    ledgers['b'].set_weights(UPSTREAM, {'a': 1})
+    talk(ledgers, 'ab')
+    ledgers['a'].opened(UPSTREAM)
+    ledgers['a'].remove_upstream(UPSTREAM)
+    talk(ledgers, 'ab')
+    assert ledgers['a'].open_flows(UPSTREAM) == 1
+    assert len(tuple(ledgers['a'].announcements())) == 1
+    ledgers['a'].closed(UPSTREAM)
+    talk(ledgers, 'ab')
+    assert not tuple(ledgers['a'].announcements())
+    ledgers['a'].set_limit(UPSTREAM, 10)
+    ledgers['a'].set_weights(UPSTREAM, {'a': 1})
+    talk(ledgers, 'ab')
+    assert ledgers['a'].granted(UPSTREAM) == 10
+
+
+def test_members_that_disagree_do_not_answer_each_other_for_ever() -> None:
+    ledgers = {name: ledger_of(name) for name in 'ab'}
+    ledgers['a'].join('dead', 0)
+    talk(ledgers, 'ab')
+    assert granted_sum(ledgers) == 0
+    for ledger in ledgers.values():
+        ledger.set_limit(UPSTREAM, 9)
+    sent = 0
+    for _ in range(50):
+        for sender, receiver in ('ab', 'ba'):
+            ledgers[sender].refresh(1000)
+            if ledgers[sender].has_news_for(receiver):
+                message = ledgers[sender].message_for(receiver)
+                ledgers[receiver].receive(message, 1000)
+                sent += 1
+    assert 2 <= sent <= 6
+    ledgers['a'].forget('dead')
+    talk(ledgers, 'ab')
+    assert granted_sum(ledgers) == 9
