Let virtual time pass waits that rounding makes too short

Cause: a wait until a time a rounding error ahead never ended, as the clock stood still; the platform's watch waits like this for a lease to lapse. Change: after 100 turns at one time the clock advances by a nanosecond.

--- a/packages/tools/src/hibiscushatch_tools/virtual_time.py
+++ b/packages/tools/src/hibiscushatch_tools/virtual_time.py
@@ -9,6 +9,8 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+TURNS_AT_ONE_TIME_MAX = 100
+STEP_S = 1e-9
 ResultT = TypeVar('ResultT')
 
 
@@ -18,6 +20,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_s = 0.0
+        self._turns_at_one_time = 0
 
     def select(
         self, timeout: float | None = None
@@ -27,9 +30,20 @@
             return ready
         if timeout is None:
             raise RuntimeError('every task waits and no timer is set')
-        self.now_s += max(timeout, 0)
+        self._advance(max(timeout, 0))
         return ready
 
+    def _advance(self, by_s: float) -> None:
+        """Advance the clock, also when timers due by rounding hold it."""
+        before_s = self.now_s
+        self.now_s += by_s
+        if self.now_s > before_s:
+            self._turns_at_one_time = 0
+            return
+        self._turns_at_one_time += 1
+        if self._turns_at_one_time >= TURNS_AT_ONE_TIME_MAX:
+            self.now_s += STEP_S
+
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """An asyncio loop over virtual time; it serves no sockets."""
