Give up every bucket that has counted entries; let few VMs watch the platform

The change decides by counted entries instead of a remembered set. Besides: only two VMs of a domain watch the platform, buckets that had to leave their upstream no longer hold up the evening, and the relay header is decoded without an enum look-up.

--- a/packages/core/src/hibiscushatch_core/relay.py
+++ b/packages/core/src/hibiscushatch_core/relay.py
@@ -4,10 +4,10 @@
 reply, the address of the upstream that sent it. The inner packet is unchanged.
 """
 
-import dataclasses
 import enum
 import socket
 import struct
+from typing import NamedTuple
 
 HOPS_MAX = 3
 
@@ -23,8 +23,10 @@
     FROM_UPSTREAM_TO_PREVIOUS_OWNER = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayedPacket:
+_DIRECTIONS = tuple(Direction)
+
+
+class RelayedPacket(NamedTuple):
     """A packet with what its relay header says.
 
     Attributes:
@@ -56,11 +58,11 @@
     if len(datagram) < _HEADER.size:
         return None
     hops, direction, address = _HEADER.unpack_from(datagram)
-    if direction > max(Direction):
+    if direction >= len(_DIRECTIONS):
         return None
     return RelayedPacket(
         hops,
-        Direction(direction),
+        _DIRECTIONS[direction],
         socket.inet_ntoa(address),
         datagram[_HEADER.size :],
     )
--- a/packages/node/src/hibiscushatch_node/handover.py
+++ b/packages/node/src/hibiscushatch_node/handover.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from hibiscushatch_node.admission import Admission
-from hibiscushatch_node.flow_table import FlowState
+from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.ownership import HANDOVER_GRACE_S
 from hibiscushatch_node.peer_outflow import PeerOutflow
@@ -33,7 +33,6 @@
         self._peers = peers
         self._outflow = outflow
         self._admission = admission
-        self._held: frozenset[tuple[str, int]] = frozenset()
         self._followed = (0, 0)
         self._drop_due_s = 0.0
         self._refreshed_at_s: dict[str, float] = {}
@@ -58,17 +57,14 @@
         """Send the entries of lost buckets on, and take over gained ones."""
         self._state.ownership.refresh(self._state.now())
         self._followed = self._owners_version()
-        owned = frozenset(
-            (service, index)
-            for service, index, _ in self._state.flows.buckets()
-            if self._state.table.has(service, index)
-            and self._state.owns(service, index)
-        )
-        for service, index in sorted(self._held - owned):
-            self._give_up(service, index)
-        for service, index in sorted(owned - self._held):
-            self._take_over(service, index)
-        self._held = owned
+        for service, index, entries in self._state.flows.buckets():
+            is_owned = self._state.table.has(
+                service, index
+            ) and self._state.owns(service, index)
+            if is_owned and not all(map(_is_settled, entries.values())):
+                self._take_over(service, index)
+            elif not is_owned and any(map(_is_counted, entries.values())):
+                self._give_up(service, index)
 
     def _owners_version(self) -> tuple[int, int]:
         """Return what differs whenever owners or backups may differ."""
@@ -123,3 +119,11 @@
                 continue
             for key in tuple(entries):
                 self._state.flows.remove(service, index, key)
+
+
+def _is_counted(entry: FlowEntry) -> bool:
+    return entry.counted
+
+
+def _is_settled(entry: FlowEntry) -> bool:
+    return entry.counted or entry.state is FlowState.CLOSING
--- a/packages/node/src/hibiscushatch_node/manifest_keeper.py
+++ b/packages/node/src/hibiscushatch_node/manifest_keeper.py
@@ -10,6 +10,7 @@
 
 from hibiscushatch_core.documents import parse_document
 from hibiscushatch_core.errors import InvalidDocumentError, PlatformError
+from hibiscushatch_core.hashing import rank_by_rendezvous
 from hibiscushatch_core.manifest import Manifest, build_manifest
 from hibiscushatch_core.manifest_blob import (
     MANIFEST_KEY,
@@ -19,8 +20,12 @@
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_core.reasons import RetryReason
 from hibiscushatch_core.vm_list import VmListEntry, entry_of_settings
+from hibiscushatch_node.membership import MemberState
 from hibiscushatch_node.node_state import NodeState
 
+READERS_A_DOMAIN = 2
+READER_CHECK_S = 1.0
+
 _logger = logging.getLogger(__name__)
 
 
@@ -62,6 +67,39 @@
         return True
 
     async def run(self) -> None:
+        """Follow the platform while it is this VM's turn, until cancelled.
+
+        A few VMs of each failure domain watch for all of it; the others
+        learn new generations from their peers.
+        """
+        while True:
+            if self._is_reader():
+                await self._watch_while_reader()
+            await asyncio.sleep(READER_CHECK_S)
+
+    def _is_reader(self) -> bool:
+        membership = self._state.membership
+        own = membership.own
+        if self._state.manifest is None or own.state is MemberState.JOINING:
+            return True
+        names = [
+            member.name
+            for member in membership.serving()
+            if member.domain == own.domain
+        ]
+        ranked = rank_by_rendezvous(names, 'platform readers')
+        return own.name in ranked[:READERS_A_DOMAIN]
+
+    async def _watch_while_reader(self) -> None:
+        watch = asyncio.create_task(self._watch())
+        try:
+            while self._is_reader():
+                await asyncio.sleep(READER_CHECK_S)
+        finally:
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
+
+    async def _watch(self) -> None:
         """Watch the manifest and the list of VMs until cancelled."""
         pause_s = self._settings.retry_min_s
         while True:
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -236,7 +236,7 @@
             BucketRow(
                 index,
                 bucket.current,
-                in_motion=bucket.through_owner,
+                in_motion=self._is_evened(bucket),
                 base_domain=self._state.directory.domain_of(bucket.bases[0]),
             )
             for index, bucket in enumerate(states)
@@ -252,6 +252,14 @@
         ]
         yield from plan_moves(buckets, upstreams)
 
+    def _is_evened(self, bucket: BucketState) -> bool:
+        """Tell whether a bucket is in motion to even the load.
+
+        One that had to leave its upstream may stay in motion for as long as
+        that upstream's flows live; it does not hold up the evening.
+        """
+        return bucket.through_owner and self.is_eligible(bucket.bases[0])
+
     def _rest_buckets(self, service: Service) -> None:
         for index, bucket in enumerate(self._state.table.states(service.name)):
             if bucket.at_rest or not self._state.owns(service.name, index):
