End scenarios whose tasks miss a cancellation, and judge placements by caller

Cause: a task that wakes as it is cancelled can miss it, and the run then never ended; a flow reset before its first payload was taken had no upstream to be judged by; an entry VM that nothing reaches was waited for. Change: tasks are cancelled until they end; placements are kept from the handshake on; unreachable domains are not waited for.

--- a/packages/tools/src/hibiscushatch_tools/memory_stage.py
+++ b/packages/tools/src/hibiscushatch_tools/memory_stage.py
@@ -64,6 +64,8 @@
 STOP_LIMIT_S = 30.0
 READY_LIMIT_S = 15.0
 READY_POLL_S = 0.2
+CANCEL_ROUNDS = 5
+CANCEL_LIMIT_S = 0.1
 FAILED_MODES = {
     UpstreamChange.DIES: UpstreamMode.DEAD,
     UpstreamChange.MUTE: UpstreamMode.MUTE,
@@ -129,6 +131,16 @@
         """Calls that the platform was sent by all."""
         return self._store.calls
 
+    def reaches(self, domain: str) -> bool:
+        """Tell whether a domain is joined to the platform or to others."""
+        if domain not in self._cut_from_platform:
+            return True
+        return any(
+            self.network.joins(domain, other)
+            for other in self.desired.domains
+            if other != domain
+        )
+
     async def open(self) -> None:
         """Commit the first manifest and start all upstreams and entry VMs."""
         for site in self.desired.upstreams.values():
@@ -149,6 +161,8 @@
         await self.callers.close()
         for one in self.started:
             one.member.host.end()
+        for _ in range(CANCEL_ROUNDS):
+            await _cancel_others()
 
     async def set_draining(self, upstream: str, draining: bool) -> None:
         """Commit that an upstream drains, or is active again."""
@@ -305,7 +319,9 @@
     async def _commit(self) -> None:
         generation = await self._operator.commit(self.desired.build)
         waiting = {
-            member.name for member in self.fabric.members if member.is_healthy
+            member.name
+            for member in self.fabric.members
+            if member.is_healthy and self.reaches(member.host.domain)
         }
         self.history.commits.append(
             CommitRecord(generation, self._loop.time(), waiting)
@@ -406,5 +422,14 @@
         self.history.failures.append(f'{member.host.name} is not ready')
 
 
+async def _cancel_others() -> None:
+    """Cancel all other tasks; one that wakes just then may miss it."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    if others:
+        await asyncio.wait(others, timeout=CANCEL_LIMIT_S)
+
+
 def _at(address: str, port: int) -> SocketAddress:
     return SocketAddress.model_validate({'address': address, 'port': port})
--- a/packages/tools/src/hibiscushatch_tools/payload_ledger.py
+++ b/packages/tools/src/hibiscushatch_tools/payload_ledger.py
@@ -11,7 +11,8 @@
     Attributes:
         accepted: Upstreams that took payload, by flow and request.
         runs: Times that a request was run, by flow and request.
-        placed: The upstream that a flow was last established on.
+        placed: The upstream that admitted a flow last, by the caller's address
+            and port.
     """
 
     accepted: dict[tuple[int, int], set[str]] = dataclasses.field(
@@ -20,7 +21,7 @@
     runs: collections.Counter[tuple[int, int]] = dataclasses.field(
         default_factory=collections.Counter
     )
-    placed: dict[int, str] = dataclasses.field(default_factory=dict)
+    placed: dict[tuple[int, int], str] = dataclasses.field(default_factory=dict)
 
     @property
     def duplicated_payloads(self) -> int:
@@ -39,7 +40,10 @@
     def accept(self, flow_id: int, request: int, upstream: str) -> None:
         """Count payload of a request as accepted by an upstream."""
         self.accepted[flow_id, request].add(upstream)
-        self.placed[flow_id] = upstream
+
+    def place(self, caller: tuple[int, int], upstream: str) -> None:
+        """Note that an upstream admitted a flow."""
+        self.placed[caller] = upstream
 
     def run(self, flow_id: int, request: int) -> None:
         """Count a request as run."""
--- a/packages/tools/src/hibiscushatch_tools/scenario_figures.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_figures.py
@@ -98,7 +98,7 @@
 
 def _is_given_up(record: FlowRecord, stage: MemoryStage) -> bool:
     """Tell whether a broken flow's upstream explains it."""
-    name = stage.ledger.placed.get(record.plan.flow_id)
+    name = stage.ledger.placed.get(record.plan.caller)
     if name is None:
         return False
     ended_s = record.ended_at_s
--- a/packages/tools/src/hibiscushatch_tools/scenario_observer.py
+++ b/packages/tools/src/hibiscushatch_tools/scenario_observer.py
@@ -101,7 +101,7 @@
     def _sample_reports(self) -> None:
         pending = self._pending_commits()
         for member in self._stage.fabric.members:
-            if member.is_running:
+            if member.is_running and self._stage.reaches(member.host.domain):
                 report = member.vm.report()
                 self._sample_generation(member, report.generation, pending)
                 held = sum(service.entries for service in report.services)
@@ -183,6 +183,6 @@
 
 
 def _forgive(vm: str, pending: list[CommitRecord]) -> None:
-    """Do not wait for a dead or paused entry VM to apply a manifest."""
+    """Do not wait for an entry VM that is dead, paused or cut off."""
     for commit in pending:
         commit.waiting.discard(vm)
--- a/packages/tools/src/hibiscushatch_tools/upstream_standin.py
+++ b/packages/tools/src/hibiscushatch_tools/upstream_standin.py
@@ -281,7 +281,9 @@
 
     def _add_flow(self, segment: segments.Segment) -> _Flow:
         flow = _Flow(segment.source, segment.source_port, self._loop.time())
-        self._flows[segment.source, segment.source_port] = flow
+        caller = (segment.source, segment.source_port)
+        self._flows[caller] = flow
+        self._ledger.place(caller, self.plan.name)
         return flow
 
     def _forget(self, flow: _Flow) -> None:
