--- a/packages/node/src/hibiscushatch_node/adapters/__init__.py
+++ b/packages/node/src/hibiscushatch_node/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters of the core's ports over real sockets."""
+"""Adapters of the entry VM: sockets, HTTP and the platform."""
