--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -16,6 +16,7 @@
 from hibiscushatch_core.manifest import Service
 from hibiscushatch_core.move_plan import (
     BucketRow,
+    MovePace,
     PlannedMove,
     UpstreamRow,
     plan_moves,
@@ -25,6 +26,7 @@
 from hibiscushatch_node.node_state import NodeState
 
 PLAN_INTERVAL_S = 2.0
+EVENED_AT_ONCE_DIVISOR = 8
 
 
 class BucketPublisher(abc.ABC):
@@ -250,7 +252,9 @@
             )
             for one in service.upstreams
         ]
-        yield from plan_moves(buckets, upstreams)
+        in_motion_max = max(len(buckets) // EVENED_AT_ONCE_DIVISOR, 1)
+        pace = MovePace(in_motion_max=in_motion_max)
+        yield from plan_moves(buckets, upstreams, pace)
 
     def _is_evened(self, bucket: BucketState) -> bool:
         """Tell whether a bucket is in motion to even the load.
