Hold back resets of unknown flows while a failure domain is out of touch

The change drops such resets until shortly after the domain is back, takes a caller's acknowledgement for the answer that went by a VM with another view, and reconnects peers within a second.

--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -110,8 +110,11 @@
             located: A repeated SYN, or the caller's reset.
             entry: The flow's entry.
         """
-        if located.headers.tcp_flags & packets.TCP_RST:
+        flags = located.headers.tcp_flags
+        if flags & packets.TCP_RST:
             self._cancel(located, entry)
+        elif entry.upstream and not flags & packets.TCP_SYN:
+            self._accept_unseen(located, entry)
         elif entry.upstream:
             self._exit.to_upstream(
                 located.service, entry.upstream, located.packet
@@ -119,6 +122,15 @@
         else:
             self._exit.drop(DropReason.PLACEMENT_PENDING)
 
+    def _accept_unseen(self, located: LocatedPacket, entry: FlowEntry) -> None:
+        """Take a caller's acknowledgement for the answer it must have had.
+
+        The answer itself went to the caller by a VM with another view.
+        """
+        entry.state = FlowState.OPEN
+        self._settle(located, Answer.ACCEPTED)
+        self._exit.to_upstream(located.service, entry.upstream, located.packet)
+
     def take_answer(self, located: LocatedPacket, entry: FlowEntry) -> None:
         """Handle the answer of the upstream that a flow is placed on.
 
--- a/packages/node/src/hibiscushatch_node/flow_owner.py
+++ b/packages/node/src/hibiscushatch_node/flow_owner.py
@@ -80,6 +80,10 @@
         if entry.upstream != sender.name:
             self._turn_away_reply(located, sender)
             return
+        if entry.learned and self._is_doubtful_reset(located):
+            self._forget(located, entry)
+            self._exit.drop(DropReason.STALE_RESET)
+            return
         self._note_reply(located, entry)
         if entry.state is FlowState.CONNECTING:
             self._connector.take_answer(located, entry)
@@ -97,7 +101,7 @@
     def _learn(self, located: LocatedPacket) -> FlowEntry:
         """Enter a flow that began before this VM saw it."""
         base = self._usable_base(located)
-        entry = FlowEntry(base, FlowState.OPEN, self._state.now())
+        entry = FlowEntry(base, FlowState.OPEN, self._state.now(), learned=True)
         if not located.headers.tcp_flags & packets.TCP_CONTROL:
             self._state.flows.put(
                 located.service.name, located.index, located.key, entry
@@ -166,6 +170,7 @@
     def _note_reply(self, located: LocatedPacket, entry: FlowEntry) -> None:
         entry.seen_at_s = self._state.now()
         entry.waiting_since_s = 0
+        entry.learned = False
         self._mover.note_answer(entry.upstream, entry.seen_at_s)
         if entry.state is not FlowState.CONNECTING:
             self._note_closing(located, entry)
@@ -216,17 +221,34 @@
     ) -> None:
         if not located.headers.tcp_flags & packets.TCP_RST:
             self._exit.refuse(located.service, located.packet, reason)
+        self._forget(located, entry)
+
+    def _forget(self, located: LocatedPacket, entry: FlowEntry) -> None:
         self._connector.admission.uncount(entry)
         self._state.flows.remove(
             located.service.name, located.index, located.key
         )
 
+    def _is_doubtful_reset(self, located: LocatedPacket) -> bool:
+        """Tell whether a reset may come from a wrong upstream.
+
+        While a failure domain is out of touch, a flow that is unknown here
+        may be placed on the other side. Its caller's next packet may arrive
+        there, so the reset is kept from it.
+        """
+        is_reset = located.headers.tcp_flags & packets.TCP_RST
+        return bool(is_reset) and self._state.ownership.is_view_partial(
+            self._state.now()
+        )
+
     def _handle_reply_without_entry(
         self, located: LocatedPacket, sender: Upstream
     ) -> None:
         bucket = self._bucket(located)
         placed = located.headers.tcp_flags & SYN_ACK == SYN_ACK
-        if sender.name in bucket.bases:
+        if self._is_doubtful_reset(located):
+            self._exit.drop(DropReason.STALE_RESET)
+        elif sender.name in bucket.bases:
             self._exit.to_caller(located.packet)
         elif placed and sender.name == bucket.current:
             self._enter_placed(located, sender)
--- a/packages/node/src/hibiscushatch_node/ownership.py
+++ b/packages/node/src/hibiscushatch_node/ownership.py
@@ -11,10 +11,11 @@
 from hibiscushatch_core.hashing import rank_by_rendezvous
 from hibiscushatch_core.manifest import Manifest
 from hibiscushatch_node.bucket_table import BucketTable
-from hibiscushatch_node.membership import Member, Membership
+from hibiscushatch_node.membership import Member, Membership, MemberState
 from hibiscushatch_node.upstream_directory import UpstreamDirectory
 
 HANDOVER_GRACE_S = 3.0
+REUNION_GRACE_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,12 +69,25 @@
         self._changed_at_s = -HANDOVER_GRACE_S
         self._version = -1
         self._changes = 0
+        self._partial_until_s = 0.0
 
     @property
     def changes(self) -> int:
         """How often the serving members have changed."""
         return self._changes
 
+    def is_view_partial(self, now_s: float) -> bool:
+        """Tell whether a failure domain is, or was just now, out of touch.
+
+        Args:
+            now_s: The time.
+
+        Returns:
+            True while no VM of a domain that is in is heard, and for
+            REUNION_GRACE_S after.
+        """
+        return now_s < self._partial_until_s
+
     def apply(self, manifest: Manifest) -> None:
         """Take over a new generation; out domains own nothing."""
         self._manifest = manifest
@@ -88,6 +102,7 @@
         if self._version == self._membership.version:
             return
         self._version = self._membership.version
+        self._note_missing_domains(now_s)
         members = {one.name: one.domain for one in self._eligible()}
         if members == self._view.members:
             return
@@ -120,6 +135,21 @@
             return ''
         return before if before in self._membership.live else ''
 
+    def _note_missing_domains(self, now_s: float) -> None:
+        known = frozenset(
+            member.domain
+            for member in self._membership.records
+            if member.state is not MemberState.LEAVING and member.incarnation
+        )
+        wanted = self._manifest.domains_in if self._manifest else frozenset()
+        missing = (wanted & known) - self._membership.live_domains()
+        if missing:
+            self._partial_until_s = float('inf')
+        elif now_s < self._partial_until_s:
+            self._partial_until_s = min(
+                self._partial_until_s, now_s + REUNION_GRACE_S
+            )
+
     def _home(self, service: str, index: int) -> str:
         state = self._table.state(service, index)
         return self._directory.domain_of(state.bases[0])
--- a/packages/node/src/hibiscushatch_node/peers.py
+++ b/packages/node/src/hibiscushatch_node/peers.py
@@ -25,9 +25,9 @@
 
 BATCH_S = 0.02
 RECONNECT_MIN_S = 0.2
-RECONNECT_MAX_S = 5.0
+RECONNECT_MAX_S = 1.0
 SUPERVISE_INTERVAL_S = 0.25
-FORGET_DEAD_S = 60.0
+FORGET_DEAD_S = 600.0
 
 _logger = logging.getLogger(__name__)
 
