Keep the ramp out of what an upstream bears

Cause: the plan of moves takes its weights from the allowance, and ramped weights of upstreams that warm up at different times differ for a while. Change: allowance is the full number once warm; ramped_allowance is for limits. Conclusion: weights follow what an upstream bears, limits may ramp.

--- a/packages/core/src/hibiscushatch_core/warmth.py
+++ b/packages/core/src/hibiscushatch_core/warmth.py
@@ -135,10 +135,16 @@
         return state.last_start + upstream.warm_up_s
 
     def allowance(self, upstream: Upstream, now: float) -> int:
+        """Return how many open flows an upstream bears now."""
+        if self.is_warm(upstream, now):
+            return upstream.connections
+        return min(upstream.cold_allowance, upstream.connections)
+
+    def ramped_allowance(self, upstream: Upstream, now: float) -> int:
         """Return how many open flows to place on an upstream at most.
 
-        Once it is warm the allowance doubles at fixed intervals, from the
-        cold one to the full number. Should the upstream not be warm after
+        Once it is warm this doubles at fixed intervals, from the cold
+        allowance to the full number. Should the upstream not be warm after
         all, its answers show that before it has many flows too many.
 
         Args:
@@ -148,14 +154,14 @@
         Returns:
             Open flows.
         """
+        bears = self.allowance(upstream, now)
         warm_at = self.warm_at(upstream)
         if warm_at is None or now < warm_at:
-            return min(upstream.cold_allowance, upstream.connections)
+            return bears
         doublings = 1 + int((now - warm_at) // RAMP_DOUBLING_S)
         if doublings > RAMP_DOUBLINGS_MAX:
-            return upstream.connections
-        ramped = upstream.cold_allowance << doublings
-        return min(ramped, upstream.connections)
+            return bears
+        return min(upstream.cold_allowance << doublings, bears)
 
     def flow_placed(self, name: str, now: float) -> None:
         """Note that an upstream was given a new flow."""
--- a/packages/core/tests/warmth_test.py
+++ b/packages/core/tests/warmth_test.py
@@ -59,9 +59,13 @@
     table.flow_placed(UPSTREAM.name, now=500)
     table.flow_placed(UPSTREAM.name, now=510)
     warm_at = 500 + UPSTREAM.warm_up_s
+    assert table.ramped_allowance(UPSTREAM, warm_at - 0.001) == COLD
     assert table.allowance(UPSTREAM, warm_at - 0.001) == COLD
+    assert table.allowance(UPSTREAM, warm_at) == FULL
     ramp = [
-        table.allowance(UPSTREAM, warm_at + step * warmth.RAMP_DOUBLING_S)
+        table.ramped_allowance(
+            UPSTREAM, warm_at + step * warmth.RAMP_DOUBLING_S
+        )
         for step in range(5)
     ]
     assert ramp == [20, 40, 80, FULL, FULL]
