Keep flows of both sides through a cut and its end

The change waits for the connection, lets handed-over entries replace learned ones, ends attempts whose bucket has another owner without a reset, and repeats the SYN instead of abandoning it while a domain is out of touch. A resumed VM begins a new ledger of claims.

--- a/packages/node/src/hibiscushatch_node/admission.py
+++ b/packages/node/src/hibiscushatch_node/admission.py
@@ -33,11 +33,30 @@
         self._health: dict[str, UpstreamHealth] = {}
         self._followed = (0, 0, 0)
         self._refreshed_at_s = 0.0
+        self._renewals = 0
         self.warmth = WarmthTable(state.name)
         self.ledger = ShareLedger(
             state.name, state.ports.incarnation, CLAIM_HOLD_S
         )
 
+    def renew_ledger(self) -> None:
+        """Begin a new ledger after a pause, in which claims may have lapsed.
+
+        The open flows owned here are counted again; what was granted before
+        has to be confirmed anew.
+        """
+        self._renewals += 1
+        self.ledger = ShareLedger(
+            self._state.name,
+            self._state.ports.incarnation + self._renewals,
+            CLAIM_HOLD_S,
+        )
+        self._followed = (0, 0, 0)
+        for _, _, entries in self._state.flows.buckets():
+            for entry in entries.values():
+                if entry.counted:
+                    self.ledger.opened(entry.upstream)
+
     def open_flows(self, upstream: str) -> int:
         """Return the open flows owned here on an upstream."""
         return self.ledger.open_flows(upstream)
@@ -56,12 +75,8 @@
 
     def may_open(self, upstream: str) -> bool:
         """Tell whether this VM may place one more flow on an upstream."""
-        granted = self.ledger.granted(upstream)
-        usable = max(int(granted * self._health_of(upstream).credit), 1)
-        return (
-            self.ledger.may_open(upstream)
-            and self.ledger.open_flows(upstream) < usable
-        )
+        credit = self._health_of(upstream).credit
+        return self.ledger.may_open(upstream, credit)
 
     def verdict(self, upstream: str) -> Verdict:
         """Return what this VM's own attempts say of an upstream."""
@@ -129,7 +144,7 @@
                 self.warmth.returned(name, new.generation)
         gone = old.upstreams_by_name.keys() - new.upstreams_by_name.keys()
         for name in gone:
-            self.ledger.set_limit(name, 0)
+            self.ledger.remove_upstream(name)
             self.warmth.forget(name)
             self._health.pop(name, None)
 
--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -192,6 +192,13 @@
         if answer is Answer.ACCEPTED:
             self._attempts.pop((located.service.name, located.key))
             return
+        if not self._state.owns(located.service.name, located.index):
+            self._leave(attempt)
+            return
+        is_partial = self._state.ownership.is_view_partial(self._state.now())
+        if answer is Answer.UNANSWERED and is_partial:
+            self._repeat_unanswered(attempt)
+            return
         self._abandon(attempt, upstream, answer)
         refusal = self._reason_not_to_retry(attempt)
         if refusal is None:
@@ -199,6 +206,26 @@
         else:
             self._refuse(attempt, refusal)
 
+    def _repeat_unanswered(self, attempt: _Attempt) -> None:
+        """Let the SYN be sent again to the same upstream.
+
+        While a failure domain is out of touch, the answer may have gone to
+        the caller by a VM with another view, so nothing is reset or refused.
+        """
+        self.admission.uncount(attempt.entry)
+        reason = _RETRY_REASONS[Answer.UNANSWERED]
+        self._state.counters.retries[reason] += 1
+        if self._state.now() >= attempt.deadline_s:
+            self._leave(attempt)
+
+    def _leave(self, attempt: _Attempt) -> None:
+        """End an attempt whose answer may have gone by another VM."""
+        located = attempt.located
+        service_name = located.service.name
+        self._attempts.pop((service_name, located.key))
+        self.admission.uncount(attempt.entry)
+        self._state.flows.remove(service_name, located.index, located.key)
+
     def _may_get_room(self, attempt: _Attempt) -> bool:
         """Tell whether a share that is due here may be granted in a moment.
 
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -62,7 +62,11 @@
             self._state, self._peers, self._outflow, self._admission
         )
         self._lifecycle = Lifecycle(
-            self._state, self._peers, self._intake, self._applier
+            self._state,
+            self._peers,
+            self._intake,
+            self._applier,
+            self._admission,
         )
         self._forwarder = Forwarder(
             self._state,
--- a/packages/node/src/hibiscushatch_node/handover.py
+++ b/packages/node/src/hibiscushatch_node/handover.py
@@ -34,6 +34,7 @@
         self._outflow = outflow
         self._admission = admission
         self._followed = (0, 0)
+        self._is_unfinished = False
         self._drop_due_s = 0.0
         self._refreshed_at_s: dict[str, float] = {}
 
@@ -45,7 +46,8 @@
                 continue
             now_s = self._state.now()
             self._state.ownership.refresh(now_s)
-            if self._followed != self._owners_version():
+            is_changed = self._followed != self._owners_version()
+            if is_changed or self._is_unfinished:
                 self._drop_due_s = now_s + HANDOVER_GRACE_S
                 self.follow_owners()
             self._refresh_backups(now_s)
@@ -57,15 +59,19 @@
         """Send the entries of lost buckets on, and take over gained ones."""
         self._state.ownership.refresh(self._state.now())
         self._followed = self._owners_version()
+        self._is_unfinished = False
         for service, index, entries in self._state.flows.buckets():
-            is_owned = self._state.table.has(
-                service, index
-            ) and self._state.owns(service, index)
-            if is_owned and not all(map(_is_settled, entries.values())):
-                self._take_over(service, index)
-            elif not is_owned and any(map(_is_counted, entries.values())):
+            if self._is_owned(service, index):
+                if not all(map(_is_settled, entries.values())):
+                    self._take_over(service, index)
+            elif any(map(_is_counted, entries.values())):
                 self._give_up(service, index)
 
+    def _is_owned(self, service: str, index: int) -> bool:
+        if not self._state.table.has(service, index):
+            return False
+        return self._state.owns(service, index)
+
     def _owners_version(self) -> tuple[int, int]:
         """Return what differs whenever owners or backups may differ."""
         return (self._state.ownership.changes, self._state.table.digest)
@@ -77,14 +83,16 @@
         self._send_to_backup(service, index)
 
     def _give_up(self, service: str, index: int) -> None:
+        """Send a lost bucket's entries to its owner once it is connected."""
+        if self._state.table.has(service, index):
+            owner = self._state.ownership.owners(service, index).owner
+            session = self._peers.session(owner)
+            if session is None:
+                self._is_unfinished = True
+                return
+            self._outflow.add_bucket_entries(session, service, index)
         for entry in self._state.flows.bucket(service, index).values():
             self._admission.uncount(entry)
-        if not self._state.table.has(service, index):
-            return
-        owner = self._state.ownership.owners(service, index).owner
-        session = self._peers.session(owner)
-        if session is not None:
-            self._outflow.add_bucket_entries(session, service, index)
 
     def _send_to_backup(self, service: str, index: int) -> None:
         if self._state.table.state(service, index).at_rest:
@@ -117,8 +125,9 @@
             owners = self._state.ownership.owners(service, index)
             if self._state.name in {owners.owner, owners.backup}:
                 continue
-            for key in tuple(entries):
-                self._state.flows.remove(service, index, key)
+            for key, entry in tuple(entries.items()):
+                if not entry.counted:
+                    self._state.flows.remove(service, index, key)
 
 
 def _is_counted(entry: FlowEntry) -> bool:
--- a/packages/node/src/hibiscushatch_node/lifecycle.py
+++ b/packages/node/src/hibiscushatch_node/lifecycle.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 
+from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.generation import GenerationApplier
 from hibiscushatch_node.membership import MemberState
 from hibiscushatch_node.node_state import NodeState
@@ -28,11 +29,13 @@
         peers: PeerNetwork,
         intake: PeerIntake,
         applier: GenerationApplier,
+        admission: Admission,
     ) -> None:
         self._state = state
         self._peers = peers
         self._intake = intake
         self._applier = applier
+        self._admission = admission
         self._joining_since_s = state.now()
         self._pulse_at_s = float('inf')
 
@@ -72,6 +75,7 @@
 
     def _rejoin(self) -> None:
         self._intake.forget_table()
+        self._admission.renew_ledger()
         self._joining_since_s = self._state.now()
         self._become(MemberState.JOINING)
 
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -197,6 +197,9 @@
         self, message: EntriesMessage, key: int, entry: FlowEntry
     ) -> None:
         known = self._state.flows.find(message.s, message.i, key)
+        if known is not None and known.learned:
+            self._admission.uncount(known)
+            known = None
         if known is None or known.state is FlowState.CLOSING:
             self._state.flows.put(message.s, message.i, key, entry)
             if self._state.owns(message.s, message.i):
