Keep the first assignment while a fleet warms up

The change plans with the full number of connections until an upstream has once returned or turned cold, and fills those in steps. Waiting for a due share is bounded by 2 s, since in a rolling replacement claims are confirmed late.

--- a/packages/core/src/hibiscushatch_core/warmth.py
+++ b/packages/core/src/hibiscushatch_core/warmth.py
@@ -173,6 +173,11 @@
                 state.started_at[origin] = now
         self._changed.add(name)
 
+    def is_first_warm_up(self, name: str) -> bool:
+        """Tell whether an upstream neither returned nor turned cold yet."""
+        state = self._states.get(name)
+        return state is None or (state.generation, state.turns) == (0, 0)
+
     def returned(self, name: str, generation: int) -> None:
         """Note that an upstream came back into service, hence is cold.
 
--- a/packages/node/src/hibiscushatch_node/admission.py
+++ b/packages/node/src/hibiscushatch_node/admission.py
@@ -73,6 +73,17 @@
         """Return how many open flows an upstream bears now."""
         return self.warmth.allowance(upstream, self._state.now())
 
+    def planned_weight(self, upstream: Upstream) -> int:
+        """Return what an upstream counts for when buckets are moved.
+
+        The first assignment already gave an upstream its full part, and it
+        warms up with the others; moving buckets off it for that time would
+        only bring them back later.
+        """
+        if self.warmth.is_first_warm_up(upstream.name):
+            return upstream.connections
+        return self.weight(upstream)
+
     def may_open(self, upstream: str) -> bool:
         """Tell whether this VM may place one more flow on an upstream."""
         credit = self._health_of(upstream).credit
@@ -168,12 +179,21 @@
         now_s = self._state.now()
         self._follow_members(now_s)
         for upstream in self._state.manifest.upstreams_by_name.values():
-            self.ledger.set_limit(upstream.name, self.weight(upstream))
+            self.ledger.set_limit(upstream.name, self._limit(upstream, now_s))
         self._follow_weights()
         if self._state.membership.own.state is MemberState.SERVING:
             self.ledger.activate()
         self.ledger.refresh(now_s)
 
+    def _limit(self, upstream: Upstream, now_s: float) -> int:
+        """Return how many flows all entry VMs may open on an upstream.
+
+        One that came back is filled in steps even after its warm-up time.
+        """
+        if self.warmth.is_first_warm_up(upstream.name):
+            return self.warmth.allowance(upstream, now_s)
+        return self.warmth.ramped_allowance(upstream, now_s)
+
     def dead_upstreams(self) -> frozenset[str]:
         """Name the upstreams that this VM judges dead."""
         return frozenset(
--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -26,7 +26,7 @@
 from hibiscushatch_node.packet_exit import PacketExit
 
 ROOM_POLL_S = 0.05
-ROOM_WAIT_S = 1.0
+ROOM_WAIT_S = 2.0
 
 
 class Answer(enum.Enum):
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -205,7 +205,7 @@
     def _is_plan_due(self) -> bool:
         """Tell whether the plan may differ from the one made last."""
         weights = (
-            self._admission.weight(one)
+            self._admission.planned_weight(one)
             for one in self._state.manifest.upstreams_by_name.values()
         )
         inputs = hash(
@@ -247,7 +247,7 @@
             UpstreamRow(
                 one.name,
                 one.domain,
-                self._admission.weight(one),
+                self._admission.planned_weight(one),
                 is_eligible=self.is_eligible(one.name),
             )
             for one in service.upstreams
