Learn datagram flows for the idle timeout; wait for shares of new owners

Cause, found by printing the ledger at each refusal: a VM that has just become an owner had not yet worked out which shares are due, and refused for no room. The change waits while the ledger follows older owners. Datagrams of unknown flows go where new flows go once the owner has seen the bucket for the idle timeout. Names are walked in sorted order, since the order of a set differed from run to run.

--- a/packages/node/src/hibiscushatch_node/admission.py
+++ b/packages/node/src/hibiscushatch_node/admission.py
@@ -57,6 +57,10 @@
                 if entry.counted:
                     self.ledger.opened(entry.upstream)
 
+    def follows_owners(self) -> bool:
+        """Tell whether the due shares are those of the present owners."""
+        return self._followed[0] == self._state.ownership.changes
+
     def open_flows(self, upstream: str) -> int:
         """Return the open flows owned here on an upstream."""
         return self.ledger.open_flows(upstream)
--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -234,6 +234,8 @@
         """
         if self._state.now() - attempt.entry.seen_at_s > ROOM_WAIT_S:
             return False
+        if not self.admission.follows_owners():
+            return True
         return any(
             self.admission.ledger.is_raising(one.name)
             and self._mover.is_eligible(one.name)
--- a/packages/node/src/hibiscushatch_node/flow_owner.py
+++ b/packages/node/src/hibiscushatch_node/flow_owner.py
@@ -116,13 +116,18 @@
     def _usable_base(self, located: LocatedPacket) -> str:
         """Choose where a flow without an entry is.
 
-        A datagram may begin a flow, so one whose base takes no packets any
-        more goes where new flows go.
+        A datagram may begin a flow. It is new for certain once the owner has
+        seen all packets of the bucket for the idle timeout, and it has to go
+        where new flows go when the base takes no packets any more.
         """
         bucket = self._bucket(located)
         base = bucket.bases[0]
-        if located.service.key.protocol == packets.TCP:
+        service = located.service
+        if service.key.protocol == packets.TCP:
             return base
+        watched_s = self._mover.watched_s(service.name, located.index)
+        if watched_s >= service.idle_timeout_s:
+            return bucket.current
         upstream = self._state.directory.find(base)
         if upstream and self._state.directory.may_receive(upstream):
             return base
--- a/packages/node/src/hibiscushatch_node/membership.py
+++ b/packages/node/src/hibiscushatch_node/membership.py
@@ -249,7 +249,7 @@
 
     def serving(self) -> Iterator[Member]:
         """Yield the live members that may own buckets."""
-        for name in self._live:
+        for name in sorted(self._live):
             member = self._records[name]
             if member.state is MemberState.SERVING:
                 yield member
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -115,6 +115,19 @@
         """Return when an upstream last sent something; 0 for never."""
         return self._answered_at_s.get(upstream, 0)
 
+    def watched_s(self, service: str, index: int) -> float:
+        """Return for how long all packets of a bucket passed here.
+
+        Args:
+            service: Name of the service.
+            index: Number of the bucket.
+
+        Returns:
+            Seconds; 0 when the bucket is not in motion.
+        """
+        motion = self._motions.get((service, index))
+        return self._state.now() - motion.since_s if motion else 0
+
     def note_entry(self, service: str, index: int, key: int) -> None:
         """Copy a flow's entry to the backup while its bucket needs it."""
         if self._state.table.state(service, index).through_owner:
--- a/packages/node/src/hibiscushatch_node/peers.py
+++ b/packages/node/src/hibiscushatch_node/peers.py
@@ -167,7 +167,7 @@
 
     def _dial_missing(self) -> None:
         membership = self._state.membership
-        for name in membership.link_names():
+        for name in sorted(membership.link_names()):
             task = self._dialers.get(name)
             if self._state.name > name or (task and not task.done()):
                 continue
