--- /dev/null
+++ b/packages/tools/tests/operations_page_test.py
@@ -0,0 +1,89 @@
+"""Tests that docs/OPERATIONS.md and the code name the same things."""
+
+import enum
+import json
+import pathlib
+import re
+from collections.abc import Iterator
+
+from hibiscushatch_core import reasons
+from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.report import NodeReport
+from hibiscushatch_node.adapters.metrics import Metrics
+from hibiscushatch_ops.schema_command import MODELS
+
+PAGE = pathlib.Path('docs/OPERATIONS.md').read_text()
+REASON_SECTIONS = (
+    ('Drop reasons', reasons.DropReason),
+    ('Refusal reasons', reasons.RefusalReason),
+    ('Retry reasons', reasons.RetryReason),
+)
+ROW = re.compile(r'^\| `([a-z0-9_]+)` \| (.+?) \| (.+) \|$')
+METRIC = re.compile(r'hibiscushatch_[a-z_]+')
+SNAKE_CASE_WORD = re.compile('`([a-z]+(?:_[a-z0-9]+)+)`')
+
+
+def _rows(section: str) -> Iterator[re.Match[str]]:
+    """Yield the rows of the tables in a section of the page."""
+    _, _, after = PAGE.partition(f'\n## {section}\n')
+    text, _, _ = after.partition('\n## ')
+    assert text, f'no section {section}'
+    for line in text.splitlines():
+        row = ROW.match(line)
+        assert row or not line.startswith('| `'), f'no meaning, action: {line}'
+        if row:
+            yield row
+
+
+def _exported_metrics() -> frozenset[str]:
+    report = NodeReport('vm', 'domain', 'joining', False, 0, '', (), ())
+    body, _ = Metrics().render(Counters(), report, 0, ())
+    return frozenset(re.findall(r'^# TYPE (\w+)', body.decode(), re.MULTILINE))
+
+
+def _field_names() -> Iterator[str]:
+    """Yield the fields of all documents that operators write."""
+    for model in MODELS.values():
+        schema = model.model_json_schema()
+        for one in (schema, *schema.get('$defs', {}).values()):
+            yield from one.get('properties', ())
+
+
+def _reason_values() -> Iterator[str]:
+    for _, members in REASON_SECTIONS:
+        yield from (one.value for one in members)
+
+
+def test_every_reason_has_a_row_and_every_row_a_reason() -> None:
+    for section, members in REASON_SECTIONS:
+        named = [row.group(1) for row in _rows(section)]
+        assert sorted(named) == sorted(one.value for one in members), section
+
+
+def test_every_reason_enumeration_has_a_section() -> None:
+    enumerations = {
+        one
+        for one in vars(reasons).values()
+        if isinstance(one, type) and issubclass(one, enum.StrEnum)
+    }
+    assert enumerations == {members for _, members in REASON_SECTIONS}
+
+
+def test_every_metric_has_a_row_and_every_row_a_metric() -> None:
+    named = [row.group(1) for row in _rows('Metrics')]
+    assert sorted(named) == sorted(_exported_metrics())
+    assert set(METRIC.findall(PAGE)) == _exported_metrics()
+
+
+def test_other_names_on_the_page_are_known() -> None:
+    gauges = {one.removeprefix('hibiscushatch_') for one in _exported_metrics()}
+    known = {*_field_names(), *_reason_values(), *gauges, *_exported_metrics()}
+    assert set(SNAKE_CASE_WORD.findall(PAGE)) <= known
+
+
+def test_the_manifest_of_the_readme_is_valid_and_has_ten_lines() -> None:
+    text = pathlib.Path('README.md').read_text()
+    _, _, after = text.partition('```json\n')
+    block, _, _ = after.partition('```')
+    assert len(block.splitlines()) == 10
+    MODELS['manifest'].model_validate(json.loads(block))
