--- a/packages/node/src/hibiscushatch_node/admission.py
+++ b/packages/node/src/hibiscushatch_node/admission.py
@@ -3,7 +3,8 @@
 Counts the open flows owned here, keeps this VM's claims on each upstream's
 limit, and follows how warm and how healthy upstreams are. An entry is counted
 once, while it is placed, not closed, and its bucket is owned here; copies
-held as a backup are not counted.
+held as a backup are not counted. One ledger of claims spans all entry VMs that
+this one knows, whatever their failure domain.
 """
 
 import collections
--- a/packages/tools/src/hibiscushatch_tools/testing.py
+++ b/packages/tools/src/hibiscushatch_tools/testing.py
@@ -2,7 +2,7 @@
 
 A module-level ``test_*`` function is a test. A coroutine function runs in
 virtual time unless it is marked with ``real_time``. Shared fixtures are
-context managers in the ``fixtures`` module beside the tests.
+context managers and functions in ``<package>_fixtures`` beside the tests.
 """
 
 import asyncio
