--- a/packages/tools/src/hibiscushatch_tools/capacity_control.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_control.py
@@ -22,6 +22,7 @@
 REPLACEMENT_S = 12.0
 SERVING_LIMIT_S = 60.0
 REPLACED_FLEET = 12
+STANDING_SERVICES = (15, 30, 60, 120)
 REPLACED_FLEETS = (20, 28, 36, 44)
 FLEET_LINKS = 2 * FLEET_LINKS_EACH_WAY
 REPLACED_SERVICES = (6, 12, 24, 48)
@@ -214,6 +215,35 @@
     )
 
 
+def measure_standing_work(services: int) -> float:
+    """Measure one entry VM without peers or callers.
+
+    Args:
+        services: Services of the manifest; upstreams grow alike.
+
+    Returns:
+        Processor time of a second, in milliseconds.
+    """
+    upstreams = services * DESIGN.upstreams // DESIGN.services
+    shape = FleetShape(1, services=services, upstreams=upstreams)
+    return measure_fleet(shape).cpu_ms_s
+
+
+def standing_slope() -> Slope:
+    """Measure the work of an entry VM that only its tables cause."""
+    return Slope(
+        'standing_cpu',
+        'processor time of one VM without peers or callers, ms/s',
+        'buckets of all services',
+        'hibiscushatch_node.mover',
+        [
+            Point(services * DESIGN.buckets, measure_standing_work(services))
+            for services in STANDING_SERVICES
+        ],
+        DESIGN.all_buckets,
+    )
+
+
 def rest_slopes(costs: Sequence[FleetCost]) -> Iterator[Slope]:
     """Turn the costs of fleets at rest into slopes.
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_fixtures.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_fixtures.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 
+from hibiscushatch_core.hashing import hash_text
 from hibiscushatch_core.manifest_document import ManifestDocument
 from hibiscushatch_node.membership import Member, MemberState
 from hibiscushatch_tools.capacity_model import DESIGN
@@ -9,6 +10,8 @@
 FIRST_UPSTREAM = ipaddress.IPv4Address('10.64.0.1')
 FIRST_SERVICE = ipaddress.IPv4Address('198.18.0.1')
 CONNECTIONS_A_UPSTREAM = DESIGN.open_flows // DESIGN.upstreams
+ADDRESS_SPREAD = 512
+UPSTREAM_NAME_LENGTH = 17
 CONTROL_PORT = 6637
 RELAY_PORT = 6636
 
@@ -58,11 +61,17 @@
     )
 
 
+def upstream_name(number: int) -> str:
+    """Name an upstream so that names compress no better than real ones."""
+    return f'upstream-{hash_text(str(number)):016x}'[:UPSTREAM_NAME_LENGTH]
+
+
 def _upstream_fields(number: int) -> dict[str, object]:
+    spread = hash_text(f'spread {number}') % ADDRESS_SPREAD
     return {
-        'name': f'upstream-{number:04d}',
+        'name': upstream_name(number),
         'domain': domain_name(number // 7 + number),
-        'address': str(FIRST_UPSTREAM + number),
+        'address': str(FIRST_UPSTREAM + number * ADDRESS_SPREAD + spread),
         'slots': 3,
         'connections': CONNECTIONS_A_UPSTREAM,
         'cold_allowance': CONNECTIONS_A_UPSTREAM // 10,
