--- a/packages/tools/src/hibiscushatch_tools/capacity_memory.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_memory.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable, Iterator
 
 from hibiscushatch_core.layout import Layout
+from hibiscushatch_core.manifest import build_manifest
 from hibiscushatch_node.bucket_table import BucketTable
 from hibiscushatch_node.flow_table import FlowEntry, FlowState, FlowTable
 from hibiscushatch_node.membership import Membership
+from hibiscushatch_node.ownership import Ownership
+from hibiscushatch_node.upstream_directory import UpstreamDirectory
 from hibiscushatch_tools.capacity_fit import Point
-from hibiscushatch_tools.capacity_fixtures import make_member
+from hibiscushatch_tools.capacity_fixtures import make_document, make_member
 from hibiscushatch_tools.capacity_model import DESIGN, Slope
 
 FLOW_COUNTS = (20_000, 50_000, 100_000, 200_000)
@@ -16,6 +19,7 @@
 MEMBER_COUNTS = (50, 100, 200, 400)
 UPSTREAMS_A_SERVICE = 10
 HEARS = 8
+RANKED_MEMBERS = 12
 
 
 def measure_memory() -> Iterator[Slope]:
@@ -51,6 +55,33 @@
         [Point(one, _allocated(_fill_members, one)) for one in MEMBER_COUNTS],
         DESIGN.entry_vms,
     )
+    yield Slope(
+        'ranking_bytes',
+        'bytes of the rankings kept for a view',
+        'buckets',
+        'hibiscushatch_node.ownership',
+        [
+            Point(one * DESIGN.buckets, _ranking_bytes(one))
+            for one in SERVICE_COUNTS
+        ],
+        DESIGN.all_buckets,
+    )
+
+
+def _ranking_bytes(services: int) -> int:
+    """Return the bytes that looking up all owners leaves behind."""
+    membership = _fill_members(RANKED_MEMBERS)
+    directory = UpstreamDirectory()
+    ownership = Ownership(membership, _fill_buckets(services), directory)
+    ownership.apply(build_manifest(make_document(services, services)))
+    ownership.refresh(0)
+    return _allocated(lambda size: _rank_all(ownership, size), services)
+
+
+def _rank_all(ownership: Ownership, services: int) -> None:
+    for number in range(services):
+        for index in range(DESIGN.buckets):
+            ownership.owners(f'service-{number}', index)
 
 
 def _allocated(fill: Callable[[int], object], size: int) -> int:
--- a/packages/tools/src/hibiscushatch_tools/capacity_platform.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_platform.py
@@ -13,8 +13,8 @@
 
 STANDING_VMS = 6
 RACK_SIZES = (2, 4, 8, 12)
-FLEET_SIZES = (6, 12, 18, 24)
-WATCHED_S = 40
+FLEET_SIZES = (12, 18, 24, 36)
+WATCHED_S = 20
 OUTAGE_S = 60.0
 KEEPER = 'hibiscushatch_node.manifest_keeper'
 
@@ -60,22 +60,25 @@
 
 async def _measure_rack(rack_vms: int) -> CallCost:
     fleet = await start_fleet(FleetShape(STANDING_VMS))
+    before = fleet.usage()
     for number in range(STANDING_VMS, STANDING_VMS + rack_vms):
         await fleet.start(number)
-    return await _watch(fleet, rack_vms)
+    return await _watch(fleet, before, rack_vms)
 
 
 async def _measure_return(entry_vms: int) -> CallCost:
     fleet = await start_fleet(FleetShape(entry_vms))
     fleet.store.inject(PlatformFaults(outage=True))
     await asyncio.sleep(OUTAGE_S)
+    before = fleet.usage()
     fleet.store.inject(PlatformFaults())
-    return await _watch(fleet, entry_vms)
+    return await _watch(fleet, before, entry_vms)
 
 
-async def _watch(fleet: MemoryFleet, entry_vms: int) -> CallCost:
+async def _watch(
+    fleet: MemoryFleet, before: FleetUsage, entry_vms: int
+) -> CallCost:
     seconds: list[FleetUsage] = []
-    before = fleet.usage()
     for _ in range(WATCHED_S):
         await asyncio.sleep(1)
         now = fleet.usage()
