--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -27,7 +27,7 @@
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
 RAW_FIGURES = pathlib.Path('build/capacity.json')
-WORKERS = 4
+WORKERS = 3
 PROCESSORS = os.cpu_count() or 1
 
 
@@ -40,9 +40,7 @@
     Returns:
         What was measured.
     """
-    process_bytes = (
-        resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
-    )
+    process_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
     change = _submit(
         pool, capacity_change.measure_change, capacity_change.FLEET_SIZES
     )
@@ -100,10 +98,7 @@
 
 def _claims_slopes() -> Iterator[Slope]:
     yield from capacity_claims.claims_slopes(
-        [
-            capacity_claims.measure_claims(*one)
-            for one in capacity_claims.SHAPES
-        ]
+        [capacity_claims.measure_claims(*one) for one in capacity_claims.SHAPES]
     )
 
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_control.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_control.py
@@ -58,6 +58,7 @@
     FleetShape(3),
     FleetShape(9),
     FleetShape(16),
+    FleetShape(18),
     FleetShape(32),
     FleetShape(64),
     FleetShape(24, one_domain=True),
--- a/packages/tools/src/hibiscushatch_tools/capacity_fixtures.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_fixtures.py
@@ -98,9 +98,7 @@
         control=(address, CONTROL_PORT),
         relay=(address, RELAY_PORT),
         generation=1,
-        hears=frozenset(
-            vm_name(number + step) for step in range(1, hears + 1)
-        ),
+        hears=frozenset(vm_name(number + step) for step in range(1, hears + 1)),
     )
 
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_memory.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_memory.py
@@ -49,7 +49,7 @@
     )
     yield Slope(
         'member_bytes',
-        'bytes of the members\' records',
+        "bytes of the members' records",
         'entry VMs',
         'hibiscushatch_node.membership',
         [Point(one, _allocated(_fill_members, one)) for one in MEMBER_COUNTS],
--- a/packages/tools/src/hibiscushatch_tools/capacity_model.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_model.py
@@ -106,8 +106,14 @@
 
     @property
     def at_target(self) -> float:
-        """The figure at the size to design for."""
-        return self.fit.at(self.target)
+        """The figure at the size to design for.
+
+        A figure that does not rise is taken as its largest measurement.
+        """
+        fit = self.fit
+        if fit.slope <= 0:
+            return max(one.figure for one in self.points)
+        return fit.at(self.target)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/tools/src/hibiscushatch_tools/capacity_roles.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_roles.py
@@ -83,17 +83,40 @@
     Yields:
         Figures by role.
     """
-    yield from _judge_forwarder(measured)
-    yield from _judge_owner(measured)
-    yield from _judge_claims(measured)
-    yield from _judge_backup(measured)
-    yield from _judge_links(measured)
-    yield from _judge_replacement(measured)
-    yield from _judge_change(measured)
+    entry_vm = (
+        *_judge_forwarder(measured),
+        *_judge_owner(measured),
+        *_judge_claims(measured),
+        *_judge_backup(measured),
+        *_judge_links(measured),
+        *_judge_replacement(measured),
+        *_judge_change(measured),
+    )
+    yield from entry_vm
+    yield _add_up(entry_vm, LIMITS.control_bytes_s, 'B/s', 'bytes sent')
+    yield _add_up(entry_vm, LIMITS.core_ms_s, 'ms/s', 'processor time')
     yield from _judge_operator(measured)
     yield from _judge_platform(measured)
 
 
+def _add_up(
+    verdicts: Sequence[Verdict], limit: float, unit: str, subject: str
+) -> Verdict:
+    """Add up all figures of an entry VM that share one limit."""
+    parts = [one for one in verdicts if one.unit == unit and one.limit == limit]
+    largest = max(parts, key=lambda one: one.figure)
+    return Verdict(
+        'entry VM in all roles',
+        f'control: {subject}, all lines above with this limit',
+        sum(one.figure for one in parts),
+        unit,
+        largest.module,
+        limit,
+        f'the largest part is: {largest.subject}',
+        largest.instead or 'see the largest part',
+    )
+
+
 def _judge_forwarder(measured: Measured) -> Iterator[Verdict]:
     table_bytes = sum(
         measured.at_design(one)
@@ -170,9 +193,7 @@
         OWNER,
         'processor time of ranking, a replacement each '
         f'{format_figure(DESIGN.replacement_interval_s)} s',
-        ranking_ms
-        * VIEW_CHANGES_A_REPLACEMENT
-        / DESIGN.replacement_interval_s,
+        ranking_ms * VIEW_CHANGES_A_REPLACEMENT / DESIGN.replacement_interval_s,
         'ms/s',
         'hibiscushatch_node.ownership',
         LIMITS.core_ms_s,
@@ -334,10 +355,16 @@
         'B/s',
         'hibiscushatch_node.membership',
         LIMITS.control_bytes_s,
-        measured.breaks_at('replacement_fleet', fleet_bytes),
+        measured.breaks_at(
+            'replacement_fleet',
+            LIMITS.control_bytes_s
+            * DESIGN.entry_vms
+            * DESIGN.replacement_interval_s,
+        ),
         SPARSE_LINKS,
     )
     table_bytes = measured.at_design('table_bytes')
+    fetched = LIMITS.in_force_s * LIMITS.control_bytes_s / table_bytes
     yield Verdict(
         PEER,
         'join: one copy of all layouts at 16 KB/s',
@@ -345,13 +372,15 @@
         's',
         'hibiscushatch_node.peer_outflow',
         LIMITS.in_force_s,
-        'see bytes of all layouts',
+        f'{format_figure(DESIGN.all_buckets * fetched)} buckets',
         'layouts packed as one compressed text, or computed from the '
         'generation that they were made from',
     )
     copies = measured.slope('replacement_buckets') * DESIGN.all_buckets
     links = DESIGN.domain_vms - 1 + FLEET_LINKS
     copies_at_design = copies * links / (REPLACED_FLEET - 1)
+    bucket_bytes = copies_at_design / DESIGN.all_buckets
+    buckets = LIMITS.in_force_s * LIMITS.control_bytes_s / bucket_bytes
     yield Verdict(
         PEER,
         'join: what all linked peers send a joining VM, at 16 KB/s',
@@ -359,7 +388,7 @@
         's',
         'hibiscushatch_node.lifecycle',
         LIMITS.in_force_s,
-        f'{format_figure(LIMITS.in_force_s * LIMITS.control_bytes_s / (copies_at_design / DESIGN.all_buckets))} buckets of all services',
+        f'{format_figure(buckets)} buckets of all services',
         'ask one peer at a time for the table',
     )
 
@@ -409,6 +438,7 @@
         'ms/s',
         'hibiscushatch_node.manifest_keeper',
         LIMITS.core_ms_s,
+        instead='ask one peer for a generation',
     )
 
 
