--- a/packages/node/src/hibiscushatch_node/connector.py
+++ b/packages/node/src/hibiscushatch_node/connector.py
@@ -26,7 +26,7 @@
 from hibiscushatch_node.packet_exit import PacketExit
 
 ROOM_POLL_S = 0.05
-ROOM_WAIT_S = 1.0
+ROOM_WAIT_S = 2.0
 
 
 class Answer(enum.Enum):
@@ -110,8 +110,11 @@
             located: A repeated SYN, or the caller's reset.
             entry: The flow's entry.
         """
-        if located.headers.tcp_flags & packets.TCP_RST:
+        flags = located.headers.tcp_flags
+        if flags & packets.TCP_RST:
             self._cancel(located, entry)
+        elif entry.upstream and not flags & packets.TCP_SYN:
+            self._accept_unseen(located, entry)
         elif entry.upstream:
             self._exit.to_upstream(
                 located.service, entry.upstream, located.packet
@@ -119,6 +122,15 @@
         else:
             self._exit.drop(DropReason.PLACEMENT_PENDING)
 
+    def _accept_unseen(self, located: LocatedPacket, entry: FlowEntry) -> None:
+        """Take a caller's acknowledgement for the answer it must have had.
+
+        The answer itself went to the caller by a VM with another view.
+        """
+        entry.state = FlowState.OPEN
+        self._settle(located, Answer.ACCEPTED)
+        self._exit.to_upstream(located.service, entry.upstream, located.packet)
+
     def take_answer(self, located: LocatedPacket, entry: FlowEntry) -> None:
         """Handle the answer of the upstream that a flow is placed on.
 
@@ -180,6 +192,13 @@
         if answer is Answer.ACCEPTED:
             self._attempts.pop((located.service.name, located.key))
             return
+        if not self._state.owns(located.service.name, located.index):
+            self._leave(attempt)
+            return
+        is_partial = self._state.ownership.is_view_partial(self._state.now())
+        if answer is Answer.UNANSWERED and is_partial:
+            self._repeat_unanswered(attempt)
+            return
         self._abandon(attempt, upstream, answer)
         refusal = self._reason_not_to_retry(attempt)
         if refusal is None:
@@ -187,6 +206,26 @@
         else:
             self._refuse(attempt, refusal)
 
+    def _repeat_unanswered(self, attempt: _Attempt) -> None:
+        """Let the SYN be sent again to the same upstream.
+
+        While a failure domain is out of touch, the answer may have gone to
+        the caller by a VM with another view, so nothing is reset or refused.
+        """
+        self.admission.uncount(attempt.entry)
+        reason = _RETRY_REASONS[Answer.UNANSWERED]
+        self._state.counters.retries[reason] += 1
+        if self._state.now() >= attempt.deadline_s:
+            self._leave(attempt)
+
+    def _leave(self, attempt: _Attempt) -> None:
+        """End an attempt whose answer may have gone by another VM."""
+        located = attempt.located
+        service_name = located.service.name
+        self._attempts.pop((service_name, located.key))
+        self.admission.uncount(attempt.entry)
+        self._state.flows.remove(service_name, located.index, located.key)
+
     def _may_get_room(self, attempt: _Attempt) -> bool:
         """Tell whether a share that is due here may be granted in a moment.
 
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -16,6 +16,7 @@
 from hibiscushatch_core.manifest import Service
 from hibiscushatch_core.move_plan import (
     BucketRow,
+    MovePace,
     PlannedMove,
     UpstreamRow,
     plan_moves,
@@ -25,6 +26,7 @@
 from hibiscushatch_node.node_state import NodeState
 
 PLAN_INTERVAL_S = 2.0
+EVENED_AT_ONCE_DIVISOR = 8
 
 
 class BucketPublisher(abc.ABC):
@@ -203,7 +205,7 @@
     def _is_plan_due(self) -> bool:
         """Tell whether the plan may differ from the one made last."""
         weights = (
-            self._admission.weight(one)
+            self._admission.planned_weight(one)
             for one in self._state.manifest.upstreams_by_name.values()
         )
         inputs = hash(
@@ -245,12 +247,14 @@
             UpstreamRow(
                 one.name,
                 one.domain,
-                self._admission.weight(one),
+                self._admission.planned_weight(one),
                 is_eligible=self.is_eligible(one.name),
             )
             for one in service.upstreams
         ]
-        yield from plan_moves(buckets, upstreams)
+        in_motion_max = max(len(buckets) // EVENED_AT_ONCE_DIVISOR, 1)
+        pace = MovePace(in_motion_max=in_motion_max)
+        yield from plan_moves(buckets, upstreams, pace)
 
     def _is_evened(self, bucket: BucketState) -> bool:
         """Tell whether a bucket is in motion to even the load.
