--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -21,9 +21,7 @@
     capacity_processor,
     capacity_roles,
 )
-from hibiscushatch_tools.capacity_control import FleetCost
 from hibiscushatch_tools.capacity_model import DESIGN, KIB, LIMITS, Slope
-from hibiscushatch_tools.capacity_roles import Measured
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
 RAW_FIGURES = pathlib.Path('build/capacity.json')
@@ -31,7 +29,7 @@
 PROCESSORS = os.cpu_count() or 1
 
 
-def measure_all(pool: Executor) -> Measured:
+def measure_all(pool: Executor) -> capacity_roles.Measured:
     """Run all measurements.
 
     Args:
@@ -64,7 +62,9 @@
     found = [slope for one in slopes for slope in one.result()]
     found.extend(capacity_control.rest_slopes(costs))
     found.extend(capacity_change.change_slopes(changes))
-    return Measured({one.key: one for one in found}, costs, process_bytes)
+    return capacity_roles.Measured(
+        {one.key: one for one in found}, costs, process_bytes
+    )
 
 
 def _submit(
@@ -111,7 +111,7 @@
     )
 
 
-def write_page(measured: Measured) -> None:
+def write_page(measured: capacity_roles.Measured) -> None:
     """Rewrite the tables of the page and the raw figures.
 
     Args:
@@ -144,7 +144,9 @@
     RAW_FIGURES.write_text(json.dumps(raw, indent=2))
 
 
-def _render_fleets(fleets: Sequence[FleetCost]) -> Iterator[str]:
+def _render_fleets(
+    fleets: Sequence[capacity_control.FleetCost],
+) -> Iterator[str]:
     head = (
         'Entry VMs',
         'Failure domains',
--- a/packages/tools/src/hibiscushatch_tools/capacity_fixtures.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_fixtures.py
@@ -1,6 +1,7 @@
 """Manifests and records of a given size, as measurements need them."""
 
 import ipaddress
+from collections.abc import Sequence
 
 from hibiscushatch_core.hashing import hash_text
 from hibiscushatch_core.manifest_document import ManifestDocument
@@ -34,33 +35,38 @@
     Returns:
         A valid manifest.
     """
-    members: list[list[dict[str, object]]] = [[] for _ in range(services)]
-    for number in range(max(upstreams, services)):
-        members[number % services].append(_upstream_fields(number))
+    numbers = range(max(upstreams, services))
     return ManifestDocument.model_validate(
         {
             'generation': generation,
             'failure_domains': [
-                {
-                    'name': domain_name(number),
-                    'region': f'region-{number * 2 // DESIGN.domains}',
-                }
-                for number in range(DESIGN.domains)
+                _domain_fields(domain) for domain in range(DESIGN.domains)
             ],
             'services': [
-                {
-                    'name': f'service-{number}',
-                    'address': str(FIRST_SERVICE + number),
-                    'port': 443,
-                    'buckets': DESIGN.buckets,
-                    'upstreams': fields,
-                }
-                for number, fields in enumerate(members)
+                _service_fields(service, numbers[service::services])
+                for service in range(services)
             ],
         }
     )
 
 
+def _domain_fields(number: int) -> dict[str, object]:
+    return {
+        'name': domain_name(number),
+        'region': f'region-{number * 2 // DESIGN.domains}',
+    }
+
+
+def _service_fields(number: int, upstreams: Sequence[int]) -> dict[str, object]:
+    return {
+        'name': f'service-{number}',
+        'address': str(FIRST_SERVICE + number),
+        'port': 443,
+        'buckets': DESIGN.buckets,
+        'upstreams': [_upstream_fields(one) for one in upstreams],
+    }
+
+
 def upstream_name(number: int) -> str:
     """Name an upstream so that names compress no better than real ones."""
     return f'upstream-{hash_text(str(number)):016x}'[:UPSTREAM_NAME_LENGTH]
--- a/packages/tools/src/hibiscushatch_tools/capacity_page.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_page.py
@@ -8,6 +8,7 @@
 BEGIN = '<!-- begin {} -->'
 END = '<!-- end {} -->'
 SIGNIFICANT_DIGITS = 3
+ROUNDING_NOISE = 1e-9
 HUNDRED = 100
 
 
@@ -22,7 +23,7 @@
     """
     if math.isinf(figure):
         return 'never'
-    if not figure:
+    if abs(figure) < ROUNDING_NOISE:
         return '0'
     digits = SIGNIFICANT_DIGITS - 1 - math.floor(math.log10(abs(figure)))
     rounded = round(figure, digits)
@@ -41,7 +42,7 @@
     Yields:
         Lines without line ends.
     """
-    for cells in (head, ['---'] * len(head), *rows):
+    for cells in (head, ['---' for _ in head], *rows):
         yield '| {} |'.format(' | '.join(cells))
 
 
@@ -64,25 +65,23 @@
         'At design size',
         'Module',
     )
-    yield from render_table(head, map(_slope_cells, slopes))
+    yield from render_table(head, (tuple(_slope_cells(one)) for one in slopes))
 
 
-def _slope_cells(slope: Slope) -> Sequence[str]:
+def _slope_cells(slope: Slope) -> Iterator[str]:
     fit = slope.fit
     points = ', '.join(
         f'{format_figure(one.size)}: {format_figure(one.figure)}'
         for one in slope.points
     )
-    return (
-        slope.figure,
-        slope.size,
-        points,
-        format_figure(fit.slope),
-        format_figure(fit.slope_error),
-        f'{format_figure(fit.worst * HUNDRED)} %',
-        f'{format_figure(slope.at_target)} at {format_figure(slope.target)}',
-        f'`{slope.module}`',
-    )
+    yield slope.figure
+    yield slope.size
+    yield points
+    yield format_figure(fit.slope)
+    yield format_figure(fit.slope_error)
+    yield f'{format_figure(fit.worst * HUNDRED)} %'
+    yield f'{format_figure(slope.at_target)} at {format_figure(slope.target)}'
+    yield f'`{slope.module}`'
 
 
 def render_verdicts(verdicts: Iterable[Verdict]) -> Iterator[str]:
@@ -95,23 +94,22 @@
         Lines without line ends.
     """
     head = ('Role', 'What', 'Figure', 'Limit', 'Holds', 'Module')
-    yield from render_table(head, map(_verdict_cells, verdicts))
+    yield from render_table(
+        head, (tuple(_verdict_cells(one)) for one in verdicts)
+    )
 
 
-def _verdict_cells(verdict: Verdict) -> Sequence[str]:
+def _verdict_cells(verdict: Verdict) -> Iterator[str]:
+    yield verdict.role
+    yield verdict.subject
+    yield f'{format_figure(verdict.figure)} {verdict.unit}'
     if verdict.limit is None:
-        limit, holds = 'none', ''
+        yield 'none'
+        yield ''
     else:
-        limit = f'{format_figure(verdict.limit)} {verdict.unit}'
-        holds = 'yes' if verdict.holds else '**no**'
-    return (
-        verdict.role,
-        verdict.subject,
-        f'{format_figure(verdict.figure)} {verdict.unit}',
-        limit,
-        holds,
-        f'`{verdict.module}`',
-    )
+        yield f'{format_figure(verdict.limit)} {verdict.unit}'
+        yield 'yes' if verdict.holds else '**no**'
+    yield f'`{verdict.module}`'
 
 
 def render_failures(verdicts: Iterable[Verdict]) -> Iterator[str]:
--- a/packages/tools/tests/capacity_test.py
+++ b/packages/tools/tests/capacity_test.py
@@ -74,12 +74,12 @@
 
 
 def test_figures_have_three_digits() -> None:
-    cases = {
-        0: '0',
-        0.012345: '0.0123',
-        1.5: '1.50',
-        1234567: '1,230,000',
-        math.inf: 'never',
-    }
-    for figure, text in cases.items():
+    cases = (
+        (0, '0'),
+        (0.012345, '0.0123'),
+        (1.5, '1.50'),
+        (1234567, '1,230,000'),
+        (math.inf, 'never'),
+    )
+    for figure, text in cases:
         assert capacity_page.format_figure(figure) == text, figure
