--- a/packages/tools/src/hibiscushatch_tools/baselines.py
+++ b/packages/tools/src/hibiscushatch_tools/baselines.py
@@ -7,8 +7,7 @@
 
 import abc
 import asyncio
-import collections
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterator, Sequence
 from typing import Any
 
 from hibiscushatch_core import hashing, packets
@@ -158,6 +157,7 @@
     def _apply_manifest(self, manifest: Manifest) -> None:
         self._applier.apply(manifest)
 
+    @abc.abstractmethod
     def _introduce(self, entry: VmListEntry) -> None:
         """Hear of another entry VM on the platform's list."""
 
@@ -170,7 +170,7 @@
 
     def _report_services(
         self, manifest: Manifest | None
-    ) -> collections.abc.Iterator[ServiceReport]:
+    ) -> Iterator[ServiceReport]:
         for service in manifest.services if manifest else ():
             yield ServiceReport(
                 name=service.name,
@@ -198,6 +198,9 @@
     def _choose(self, names: Sequence[str], located: LocatedPacket) -> str:
         """Choose one of the upstreams that may have new flows."""
 
+    def _introduce(self, entry: VmListEntry) -> None:
+        """Need no other entry VM."""
+
     def _apply_manifest(self, manifest: Manifest) -> None:
         super()._apply_manifest(manifest)
         if self._state.membership.own.state is MemberState.JOINING:
