Give the owner baseline the admission that the life cycle asks for

Cause: the life cycle renews the ledger after a pause since it was merged with the hand-over; the baseline still passed four arguments.

--- a/packages/tools/src/hibiscushatch_tools/baseline_owner.py
+++ b/packages/tools/src/hibiscushatch_tools/baseline_owner.py
@@ -45,7 +45,7 @@
         outflow = PeerOutflow(self._state, admission)
         self._peers = PeerNetwork(self._state, intake, outflow)
         self._lifecycle = Lifecycle(
-            self._state, self._peers, intake, self._applier
+            self._state, self._peers, intake, self._applier, admission
         )
         self._owners: dict[str, str] = {}
         self._owners_version = (0, 0)
