Ask one peer at a time, index buckets in motion, keep rankings of unchanged domains

Cause, measured for docs/CAPACITY.md: a joining VM asked every peer for its table and every VM every peer for a generation; the mover walked all buckets and weights four times a second (261 ms/s at design size); a change of members ranked all buckets anew (3.3 s); and fleets of more than 16 VMs in several domains were granted no share at all, since not all members of the one ledger are linked. The change asks one peer at a time, answers for a table only when it holds one, walks only buckets in motion, keeps the rankings of domains whose members are the same, and meshes fleets up to 32 VMs. A SYN with payload is dropped and counted, since placing it again could run the payload twice.

Conclusion: the grants still stop above 32 VMs in several domains; a ledger for each domain is what has to follow.

--- a/packages/core/src/hibiscushatch_core/reasons.py
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -26,6 +26,7 @@
     NO_OWNER = 'no_owner'
     SEND_FAILED = 'send_failed'
     PLACEMENT_PENDING = 'placement_pending'
+    SYN_WITH_PAYLOAD = 'syn_with_payload'
 
 
 class RefusalReason(enum.StrEnum):
--- a/packages/node/src/hibiscushatch_node/bucket_table.py
+++ b/packages/node/src/hibiscushatch_node/bucket_table.py
@@ -17,6 +17,7 @@
         self._layouts: dict[str, Layout] = {}
         self._digests: dict[str, int] = {}
         self._referenced: dict[str, int] = {}
+        self._in_motion: dict[str, set[int]] = {}
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -49,6 +50,7 @@
         self._layouts[service] = layout
         self._states[service] = layout.states()
         self._digests[service] = layout.digest
+        self._in_motion[service] = set()
         for state in self._states[service]:
             self._count_references(state, 1)
 
@@ -81,6 +83,7 @@
             self._count_references(state, -1)
         self._digests.pop(service, None)
         self._layouts.pop(service, None)
+        self._in_motion.pop(service, None)
 
     def state(self, service: str, index: int) -> BucketState:
         """Return the state of a bucket."""
@@ -98,6 +101,14 @@
         self._digests[service] ^= _digest_state(service, index, state)
         self._count_references(old, -1)
         self._count_references(state, 1)
+        if state.through_owner:
+            self._in_motion[service].add(index)
+        else:
+            self._in_motion[service].discard(index)
+
+    def in_motion(self, service: str) -> list[int]:
+        """Return the indexes of the buckets in motion, in order."""
+        return sorted(self._in_motion.get(service, ()))
 
     def join(self, service: str, index: int, state: BucketState) -> bool:
         """Join a state from another VM into a bucket.
--- a/packages/node/src/hibiscushatch_node/flow_owner.py
+++ b/packages/node/src/hibiscushatch_node/flow_owner.py
@@ -45,6 +45,9 @@
         """
         entry = self._find(located)
         flags = located.headers.tcp_flags
+        if _opens_flow(flags) and located.headers.payload_bytes:
+            self._exit.drop(DropReason.SYN_WITH_PAYLOAD)
+            return
         if _opens_flow(flags) and not _is_live(entry):
             self._connector.begin(located)
             return
--- a/packages/node/src/hibiscushatch_node/lifecycle.py
+++ b/packages/node/src/hibiscushatch_node/lifecycle.py
@@ -16,6 +16,7 @@
 
 PULSE_S = 0.1
 LEAVE_S = 1.0
+TABLE_ANSWER_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
         self._admission = admission
         self._joining_since_s = state.now()
         self._pulse_at_s = float('inf')
+        self._table_due_s = 0.0
 
     @property
     def leave_s(self) -> float:
@@ -77,6 +79,7 @@
         self._intake.forget_table()
         self._admission.renew_ledger()
         self._joining_since_s = self._state.now()
+        self._table_due_s = 0
         self._become(MemberState.JOINING)
 
     def _try_to_serve(self) -> None:
@@ -86,9 +89,25 @@
             self._applier.lay_out_missing()
             self._become(MemberState.SERVING)
             return
-        for session in self._peers.sessions:
+        now_s = self._state.now()
+        if now_s >= self._table_due_s:
+            self._ask_for_table(now_s)
+
+    def _ask_for_table(self, now_s: float) -> None:
+        """Ask one serving peer, and another when it has not answered."""
+        serving = frozenset(
+            one.name for one in self._state.membership.serving()
+        )
+        sessions = [
+            session
+            for session in self._peers.sessions
+            if session.name in serving
+        ]
+        if sessions:
+            session = self._state.ports.randomness.choice(sessions)
             session.outbox.want_table = True
             session.wake()
+            self._table_due_s = now_s + TABLE_ANSWER_S
 
     def _is_alone(self) -> bool:
         """Tell whether no peer that serves has been found in time."""
--- a/packages/node/src/hibiscushatch_node/membership.py
+++ b/packages/node/src/hibiscushatch_node/membership.py
@@ -18,7 +18,7 @@
 from hibiscushatch_core.messages import MemberMessage
 from hibiscushatch_core.settings import NodeSettings
 
-MESH_MEMBERS_MAX = 16
+MESH_MEMBERS_MAX = 32
 DOMAIN_LINKS_EACH_WAY = 2
 FLEET_LINKS_EACH_WAY = 2
 
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -75,7 +75,7 @@
         self._opening: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._motions: dict[tuple[str, int], _Motion] = {}
         self._answered_at_s: dict[str, float] = {}
-        self._planned_inputs = 0
+        self._planned_inputs = (0, 0, 0)
         self._planned_at_s = 0.0
 
     def is_eligible(self, upstream: str) -> bool:
@@ -216,18 +216,14 @@
         self._publisher.publish_bucket(service, index)
 
     def _is_plan_due(self) -> bool:
-        """Tell whether the plan may differ from the one made last."""
-        weights = (
-            self._admission.planned_weight(one)
-            for one in self._state.manifest.upstreams_by_name.values()
-        )
-        inputs = hash(
-            (
-                self._state.table.digest,
-                self._state.membership.version,
-                self._state.generation,
-                tuple(weights),
-            )
+        """Tell whether the plan may differ from the one made last.
+
+        Weights change with time alone, so it is made at intervals besides.
+        """
+        inputs = (
+            self._state.table.digest,
+            self._state.membership.version,
+            self._state.generation,
         )
         now_s = self._state.now()
         is_recent = now_s - self._planned_at_s < PLAN_INTERVAL_S
@@ -278,9 +274,10 @@
         return bucket.through_owner and self.is_eligible(bucket.bases[0])
 
     def _rest_buckets(self, service: Service) -> None:
-        for index, bucket in enumerate(self._state.table.states(service.name)):
-            if bucket.at_rest or not self._state.owns(service.name, index):
+        for index in self._state.table.in_motion(service.name):
+            if not self._state.owns(service.name, index):
                 continue
+            bucket = self._state.table.state(service.name, index)
             motion = self._motions.setdefault(
                 (service.name, index), _Motion(self._state.now())
             )
--- a/packages/node/src/hibiscushatch_node/ownership.py
+++ b/packages/node/src/hibiscushatch_node/ownership.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from hibiscushatch_core.hashing import rank_by_rendezvous
 from hibiscushatch_core.manifest import Manifest
@@ -29,26 +29,51 @@
 NOBODY = Owners('', '')
 
 
+_Rankings = dict[tuple[str, int], Owners]
+
+
 class _View:
-    """The serving members at one time, with rankings kept."""
+    """The serving members at one time, with rankings kept by domain."""
 
     def __init__(self, members: dict[str, str]) -> None:
         self.members = members
-        self._ranked: dict[tuple[str, int, str], Owners] = {}
+        self._names: dict[str, list[str]] = {}
+        for name, domain in members.items():
+            self._names.setdefault(domain, []).append(name)
+        self._ranked: dict[str, _Rankings] = {}
+
+    def follow(self, members: dict[str, str]) -> '_View':
+        """Make the next view with the rankings that are still right.
+
+        Args:
+            members: Failure domains by name of the serving members.
+
+        Returns:
+            A view that ranks anew in the domains that changed.
+        """
+        following = _View(members)
+        for domain, names in self._names.items():
+            if following._names.get(domain) == names:
+                following._ranked[domain] = self._ranked.get(domain, {})
+        return following
 
     def rank(self, service: str, index: int, domain: str) -> Owners:
-        known = self._ranked.get((service, index, domain))
+        rankings = self._ranked.get(domain)
+        if rankings is None:
+            rankings = self._ranked.setdefault(domain, {})
+        known = rankings.get((service, index))
         if known is None:
-            known = self._compute(service, index, domain)
-            self._ranked[(service, index, domain)] = known
+            names = self._names.get(domain) or self.members
+            known = _rank(names, f'{service}/{index}')
+            rankings[(service, index)] = known
         return known
 
-    def _compute(self, service: str, index: int, domain: str) -> Owners:
-        names = [one for one, home in self.members.items() if home == domain]
-        ranked = rank_by_rendezvous(names or self.members, f'{service}/{index}')
-        if not ranked:
-            return NOBODY
-        return Owners(ranked[0], ranked[1] if len(ranked) > 1 else '')
+
+def _rank(names: Iterable[str], subject: str) -> Owners:
+    ranked = rank_by_rendezvous(names, subject)
+    if not ranked:
+        return NOBODY
+    return Owners(ranked[0], ranked[1] if len(ranked) > 1 else '')
 
 
 class Ownership:
@@ -107,7 +132,7 @@
         if members == self._view.members:
             return
         self._previous = self._view
-        self._view = _View(members)
+        self._view = self._view.follow(members)
         self._changed_at_s = now_s
         self._changes += 1
 
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -20,11 +20,12 @@
 from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.manifest_keeper import ManifestKeeper
-from hibiscushatch_node.membership import member_from_message
+from hibiscushatch_node.membership import MemberState, member_from_message
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.peer_session import Outbox, PeerSession
 
 MISMATCHES_BEFORE_TABLE = 6
+MANIFEST_ANSWER_S = 0.5
 
 
 class Spreader(abc.ABC):
@@ -54,6 +55,7 @@
         self._admission = admission
         self._spreader: Spreader | None = None
         self._table_complete = False
+        self._manifest_due_s = 0.0
 
     @property
     def table_complete(self) -> bool:
@@ -128,7 +130,10 @@
     ) -> None:
         if message.manifest:
             self._keeper.offer(message.manifest.encode(), session.name)
-        if message.g > self._state.generation:
+        is_newer = message.g > self._state.generation
+        now_s = self._state.now()
+        if is_newer and now_s >= self._manifest_due_s:
+            self._manifest_due_s = now_s + MANIFEST_ANSWER_S
             session.outbox.want_manifest = True
             session.wake()
 
@@ -214,7 +219,8 @@
         if message.want_manifest:
             outbox.send_manifest = True
             session.wake()
-        if message.want_table:
+        is_joining = self._state.membership.own.state is MemberState.JOINING
+        if message.want_table and not is_joining:
             self._queue_table(outbox, message)
             outbox.table_done = True
             session.wake()
--- a/packages/node/src/hibiscushatch_node/reporting.py
+++ b/packages/node/src/hibiscushatch_node/reporting.py
@@ -90,7 +90,7 @@
     return ServiceReport(
         name=service.name,
         buckets=len(buckets),
-        buckets_in_motion=sum(not one.at_rest for one in buckets),
+        buckets_in_motion=len(state.table.in_motion(service.name)),
         buckets_owned=sum(
             state.owns(service.name, index) for index in range(len(buckets))
         ),
