--- a/packages/core/src/hibiscushatch_core/buckets.py
+++ b/packages/core/src/hibiscushatch_core/buckets.py
@@ -129,13 +129,12 @@
     newer, older = left, right
     if older.stamp > newer.stamp:
         newer, older = older, newer
-    if newer.follows(older.stamp):
+    if newer.stamp != older.stamp and newer.follows(older.stamp):
         return newer
     if _same_routing(newer, older):
-        return dataclasses.replace(
-            newer,
-            seen=_newest_by_writer((older.stamp, *older.seen, *newer.seen)),
-        )
+        known = (older.stamp, *older.seen, *newer.seen)
+        followed = tuple(stamp for stamp in known if stamp != newer.stamp)
+        return dataclasses.replace(newer, seen=_newest_by_writer(followed))
     return _unite(newer, older)
 
 
