Remove what nothing uses, and introduce a VM in one place

Cause: entry_sync_s, payload_forwarded and the reason platform_watch were never read or reached, and the record of a VM known by its addresses alone was built in two modules. Behaviour is unchanged.

--- a/packages/core/src/hibiscushatch_core/reasons.py
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -50,4 +50,3 @@
     PEER_CONNECT = 'peer_connect'
     PEER_SILENT = 'peer_silent'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
-    PLATFORM_WATCH = 'platform_watch'
--- a/packages/core/src/hibiscushatch_core/settings.py
+++ b/packages/core/src/hibiscushatch_core/settings.py
@@ -63,7 +63,6 @@
     announce_deadline_s: Interval = 1.5
     pause_detect_s: Interval = 1.0
     move_interval_s: Interval = 0.25
-    entry_sync_s: Interval = 0.1
     stop_grace_s: Interval = 5.0
 
 
--- a/packages/node/src/hibiscushatch_node/entry_vm.py
+++ b/packages/node/src/hibiscushatch_node/entry_vm.py
@@ -12,7 +12,7 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.manifest import Manifest
 from hibiscushatch_core.report import BucketReport, NodeReport
-from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_core.settings import NodeSettings, PeerSettings
 from hibiscushatch_core.vm_list import VmListEntry
 from hibiscushatch_node import reporting
 from hibiscushatch_node.admission import Admission
@@ -24,7 +24,7 @@
 from hibiscushatch_node.handover import Handover
 from hibiscushatch_node.lifecycle import Lifecycle
 from hibiscushatch_node.manifest_keeper import ManifestKeeper
-from hibiscushatch_node.membership import Member, MemberState
+from hibiscushatch_node.membership import introduced_member
 from hibiscushatch_node.mover import BucketMover
 from hibiscushatch_node.node_state import EntryVmPorts, NodeState
 from hibiscushatch_node.packet_exit import PacketExit
@@ -88,9 +88,7 @@
     async def start(self) -> None:
         """Begin to watch the manifest and to talk to peers."""
         for peer in self._settings.seed_peers:
-            self._introduce_address(
-                peer.name, peer.domain, peer.control.pair, peer.relay.pair
-            )
+            self._introduce(peer)
         sweeper = FlowSweeper(self._state, self._admission)
         work = {
             'manifest': self._keeper.run(),
@@ -173,31 +171,9 @@
         if self._state.membership.update_own(generation=manifest.generation):
             self._peers.spread_member(self._state.name)
 
-    def _introduce(self, entry: VmListEntry) -> None:
-        self._introduce_address(
-            entry.name, entry.domain, entry.control.pair, entry.relay.pair
-        )
-
-    def _introduce_address(
-        self,
-        name: str,
-        domain: str,
-        control: tuple[str, int],
-        relay: tuple[str, int],
-    ) -> None:
+    def _introduce(self, vm: VmListEntry | PeerSettings) -> None:
         """Make a VM known until its own record comes."""
-        placeholder = Member(
-            name=name,
-            domain=domain,
-            incarnation=0,
-            sequence=0,
-            state=MemberState.JOINING,
-            control=control,
-            relay=relay,
-            generation=0,
-            hears=frozenset(),
-        )
-        self._state.membership.receive(placeholder)
+        self._state.membership.receive(introduced_member(vm))
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/node/src/hibiscushatch_node/flow_owner.py
+++ b/packages/node/src/hibiscushatch_node/flow_owner.py
@@ -171,7 +171,6 @@
         entry.seen_at_s = now_s
         headers = located.headers
         if headers.payload_bytes:
-            entry.payload_forwarded = True
             entry.waiting_since_s = entry.waiting_since_s or now_s
         self._note_closing(located, entry)
 
--- a/packages/node/src/hibiscushatch_node/flow_table.py
+++ b/packages/node/src/hibiscushatch_node/flow_table.py
@@ -28,7 +28,6 @@
         seen_at_s: When its last packet passed here.
         waiting_since_s: When the caller sent payload that no reply has
             followed; 0 when it waits for nothing.
-        payload_forwarded: Whether payload of the caller was sent on.
         learned: Whether it was entered from a caller's packet alone, and no
             reply has confirmed its upstream yet.
         counted: Whether it counts as an open flow owned here.
@@ -38,7 +37,6 @@
     state: FlowState
     seen_at_s: float
     waiting_since_s: float = 0
-    payload_forwarded: bool = False
     learned: bool = False
     counted: bool = False
 
--- a/packages/node/src/hibiscushatch_node/manifest_keeper.py
+++ b/packages/node/src/hibiscushatch_node/manifest_keeper.py
@@ -109,10 +109,8 @@
                 ):
                     pause_s = self._settings.retry_min_s
                     self._take(event)
-                reason = RetryReason.PLATFORM_WATCH
             except PlatformError:
-                reason = RetryReason.PLATFORM_UNAVAILABLE
-            self._state.counters.retries[reason] += 1
+                self._count_unavailable()
             jitter = self._state.ports.randomness.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s * jitter)
             pause_s = min(pause_s * 2, self._settings.retry_max_s)
@@ -124,12 +122,14 @@
             try:
                 await self._hold_registration(ttl_s)
             except PlatformError:
-                self._state.counters.retries[
-                    RetryReason.PLATFORM_UNAVAILABLE
-                ] += 1
+                self._count_unavailable()
             jitter = self._state.ports.randomness.uniform(0.5, 1.5)
             await asyncio.sleep(self._settings.retry_max_s * jitter)
 
+    def _count_unavailable(self) -> None:
+        reason = RetryReason.PLATFORM_UNAVAILABLE
+        self._state.counters.retries[reason] += 1
+
     async def _hold_registration(self, ttl_s: float) -> None:
         lease = await self._platform.grant_lease(ttl_s)
         entry = entry_of_settings(self._state.settings)
--- a/packages/node/src/hibiscushatch_node/membership.py
+++ b/packages/node/src/hibiscushatch_node/membership.py
@@ -16,7 +16,8 @@
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.hashing import hash_text
 from hibiscushatch_core.messages import MemberMessage
-from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_core.settings import NodeSettings, PeerSettings
+from hibiscushatch_core.vm_list import VmListEntry
 
 MESH_MEMBERS_MAX = 32
 DOMAIN_LINKS_EACH_WAY = 2
@@ -88,6 +89,28 @@
     )
 
 
+def introduced_member(vm: VmListEntry | PeerSettings) -> Member:
+    """Build the record of a VM that is known by its addresses alone.
+
+    Args:
+        vm: An entry of the platform's list or of the settings.
+
+    Returns:
+        A record that any record of the VM itself replaces.
+    """
+    return Member(
+        name=vm.name,
+        domain=vm.domain,
+        incarnation=0,
+        sequence=0,
+        state=MemberState.JOINING,
+        control=vm.control.pair,
+        relay=vm.relay.pair,
+        generation=0,
+        hears=frozenset(),
+    )
+
+
 def member_from_message(message: MemberMessage) -> Member:
     """Convert a record from its border model.
 
--- a/packages/tools/src/hibiscushatch_tools/baseline_owner.py
+++ b/packages/tools/src/hibiscushatch_tools/baseline_owner.py
@@ -13,13 +13,13 @@
 from hibiscushatch_core.manifest import Manifest, Upstream
 from hibiscushatch_core.reasons import DropReason, RefusalReason
 from hibiscushatch_core.relay import Direction, decode_relayed
-from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_core.settings import NodeSettings, PeerSettings
 from hibiscushatch_core.vm_list import VmListEntry
 from hibiscushatch_node.admission import Admission
 from hibiscushatch_node.flow_table import FlowEntry, FlowState
 from hibiscushatch_node.lifecycle import Lifecycle
 from hibiscushatch_node.located_packet import LocatedPacket
-from hibiscushatch_node.membership import Member, MemberState
+from hibiscushatch_node.membership import introduced_member
 from hibiscushatch_node.node_state import EntryVmPorts
 from hibiscushatch_node.packet_exit import first_hop
 from hibiscushatch_node.peer_intake import PeerIntake
@@ -53,9 +53,7 @@
     async def start(self) -> None:
         """Begin to watch the manifest and to talk to peers."""
         for peer in self._settings.seed_peers:
-            self._know(
-                peer.name, peer.domain, peer.control.pair, peer.relay.pair
-            )
+            self._introduce(peer)
         await super().start()
         self._spawn(self._peers.run(), self._lifecycle.run(), self._sweep())
 
@@ -88,32 +86,9 @@
         if self._state.membership.update_own(generation=manifest.generation):
             self._peers.spread_member(self._state.name)
 
-    def _introduce(self, entry: VmListEntry) -> None:
-        self._know(
-            entry.name, entry.domain, entry.control.pair, entry.relay.pair
-        )
-
-    def _know(
-        self,
-        name: str,
-        domain: str,
-        control: tuple[str, int],
-        relay: tuple[str, int],
-    ) -> None:
+    def _introduce(self, vm: VmListEntry | PeerSettings) -> None:
         """Know a VM until its own record comes."""
-        self._state.membership.receive(
-            Member(
-                name=name,
-                domain=domain,
-                incarnation=0,
-                sequence=0,
-                state=MemberState.JOINING,
-                control=control,
-                relay=relay,
-                generation=0,
-                hears=frozenset(),
-            )
-        )
+        self._state.membership.receive(introduced_member(vm))
 
     def _handle_caller_packet(self, located: LocatedPacket) -> None:
         owner = self._find_owner(located)
--- a/packages/tools/src/hibiscushatch_tools/capacity_memory.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_memory.py
@@ -114,7 +114,6 @@
             upstreams[number % DESIGN.upstreams],
             FlowState.OPEN,
             float(number),
-            payload_forwarded=True,
             counted=True,
         )
         service = services[place % DESIGN.services]
