--- a/packages/tools/src/hibiscushatch_tools/capacity_roles.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_roles.py
@@ -389,7 +389,7 @@
         'hibiscushatch_node.lifecycle',
         LIMITS.in_force_s,
         f'{format_figure(buckets)} buckets of all services',
-        'ask one peer at a time for the table',
+        'a table that is asked for again only once its sender is silent',
     )
 
 
@@ -417,8 +417,8 @@
         'hibiscushatch_node.peer_intake',
         LIMITS.in_force_s,
         measured.breaks_at('copies_most', copies),
-        'each VM asks one peer for a generation, in a tree of few children, '
-        'and deltas between generations',
+        'a tree of few children in which each VM asks one peer, and deltas '
+        'between generations',
     )
     yield Verdict(
         PEER,
@@ -438,7 +438,7 @@
         'ms/s',
         'hibiscushatch_node.manifest_keeper',
         LIMITS.core_ms_s,
-        instead='ask one peer for a generation',
+        instead='a tree of few children',
     )
 
 
