End a peer connection on a message that makes no sense

Cause, found by reading: a layout with an index beyond its names, or entries whose groups differ in number, raised out of the task of the connection. The change turns it into a PeerError that ends the connection alone, also for the first message. Removed besides: a message field, a flag and a method that nothing used; make bench-packets runs the packet measurement.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/core packages/node packages/ops packages/tools
 MANIFESTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
-.PHONY: setup demo test bench capacity lint format
+.PHONY: setup demo test bench bench-packets capacity lint format
 
 setup: $(STAMP)
 
@@ -25,6 +25,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m hibiscushatch_tools.bench
 
+bench-packets: $(STAMP)
+	$(BIN)/python -m hibiscushatch_tools.packet_rate
+
 capacity: $(STAMP)
 	$(BIN)/python -m hibiscushatch_tools.capacity
 
--- a/packages/core/src/hibiscushatch_core/messages.py
+++ b/packages/core/src/hibiscushatch_core/messages.py
@@ -83,7 +83,6 @@
     i: int
     upstreams: tuple[str, ...]
     keys: tuple[pydantic.Base64Bytes, ...]
-    removed: pydantic.Base64Bytes = b''
 
 
 class ClaimAnnouncementMessage(StrictModel):
--- a/packages/node/src/hibiscushatch_node/peer_intake.py
+++ b/packages/node/src/hibiscushatch_node/peer_intake.py
@@ -92,7 +92,6 @@
         if message.table_done:
             self._table_complete = True
         if message.buckets or message.entries or message.members:
-            session.outbox.acknowledge = True
             session.wake()
 
     def _take_admission(
--- a/packages/node/src/hibiscushatch_node/peer_session.py
+++ b/packages/node/src/hibiscushatch_node/peer_session.py
@@ -31,7 +31,6 @@
         want_table: Ask for the bucket states that differ.
         send_manifest: Send the manifest in force.
         table_done: Tell that all asked bucket states have been sent.
-        acknowledge: An acknowledgement is owed.
     """
 
     members: set[str] = dataclasses.field(default_factory=set)
@@ -43,7 +42,6 @@
     want_table: bool = False
     send_manifest: bool = False
     table_done: bool = False
-    acknowledge: bool = False
 
 
 class PeerSession:
--- a/packages/node/src/hibiscushatch_node/peers.py
+++ b/packages/node/src/hibiscushatch_node/peers.py
@@ -217,11 +217,9 @@
         if before is not None:
             await before.close()
         self._outflow.greet(session)
-        if first is not None:
-            self._take(session, first)
         sender = asyncio.create_task(self._send_messages(session))
         try:
-            await self._receive_messages(session)
+            await self._receive_messages(session, first)
         except TimeoutError:
             self._state.counters.retries[RetryReason.PEER_SILENT] += 1
         except (PeerError, pydantic.ValidationError) as error:
@@ -236,7 +234,11 @@
         self._update_hears()
         await session.close()
 
-    async def _receive_messages(self, session: PeerSession) -> None:
+    async def _receive_messages(
+        self, session: PeerSession, first: PeerMessage | None
+    ) -> None:
+        if first is not None:
+            self._take(session, first)
         while True:
             async with asyncio.timeout(self._timing.peer_silent_s):
                 message = await session.receive()
@@ -245,7 +247,11 @@
     def _take(self, session: PeerSession, message: PeerMessage) -> None:
         session.heard_at_s = self._state.now()
         self._heard_at_s[session.name] = session.heard_at_s
-        self._intake.take(session, message)
+        try:
+            self._intake.take(session, message)
+        except (ValueError, IndexError) as error:
+            reason = f'the message is inconsistent: {error}'
+            raise PeerError('take a message', session.name, reason) from error
         if not session.is_counted:
             session.is_counted = True
             self._update_hears()
--- a/packages/node/src/hibiscushatch_node/upstream_directory.py
+++ b/packages/node/src/hibiscushatch_node/upstream_directory.py
@@ -84,11 +84,6 @@
         )
         self._index()
 
-    def forget_departed(self, name: str) -> None:
-        """Drop an upstream that no flow can be on any more."""
-        if self._departed.pop(name, None):
-            self._index()
-
     def _retire_missing(self, old: Manifest, new: Manifest) -> None:
         services = new.services_by_name
         for name, upstream in old.upstreams_by_name.items():
--- a/packages/node/tests/node_fixtures.py
+++ b/packages/node/tests/node_fixtures.py
@@ -60,14 +60,18 @@
 
 
 class LonelyTransport(PeerTransport):
-    """Reaches no other entry VM."""
+    """Reaches no other entry VM; a test may play one that connects."""
+
+    def __init__(self) -> None:
+        self.acceptor: PeerAcceptor | None = None
 
     async def connect(self, target: tuple[str, int]) -> PeerChannel:
         """Fail to connect."""
         raise PeerError('connect', str(target), 'nobody listens')
 
     async def listen(self, acceptor: PeerAcceptor) -> None:
-        """Listen where nobody connects."""
+        """Keep who takes connections."""
+        self.acceptor = acceptor
 
     async def close(self) -> None:
         """Release nothing."""
@@ -79,6 +83,20 @@
 
     vm: EntryVm
     sender: RecordingSender
+    transport: LonelyTransport
+
+    async def connect_peer(self, channel: PeerChannel) -> None:
+        """Connect another VM and wait until its connection has ended."""
+        assert self.transport.acceptor is not None
+        await self.transport.acceptor(channel)
+
+    def failed_tasks(self) -> list[str]:
+        """Name the tasks that ended though the VM goes on."""
+        return [
+            task.get_name()
+            for task in self.vm._tasks
+            if task.done() and not task.cancelled()
+        ]
 
     def from_caller(self, flags: int, payload: bytes = b'') -> None:
         """Hand the VM a packet of the caller."""
@@ -111,10 +129,11 @@
     blob = manifest_blob.encode_manifest(_manifest(), 'commit-1')
     await platform.compare_and_swap(key, 0, blob)
     sender = RecordingSender()
+    transport = LonelyTransport()
     ports = EntryVmPorts(
         sender=sender,
         platform=platform,
-        transport=LonelyTransport(),
+        transport=transport,
         clock=loop.time,
         randomness=random.Random(1),
         counters=counters,
@@ -124,7 +143,7 @@
     await vm.start()
     await asyncio.sleep(START_S)
     try:
-        yield LoneVm(vm, sender)
+        yield LoneVm(vm, sender, transport)
     finally:
         await vm.stop()
 
