--- a/packages/tools/src/hibiscushatch_tools/memory_network.py
+++ b/packages/tools/src/hibiscushatch_tools/memory_network.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextvars
 import dataclasses
 import random
 from collections.abc import Callable
@@ -67,6 +68,7 @@
     ) -> None:
         self.lost = 0
         self.control_bytes: collections.Counter[str] = collections.Counter()
+        self._outside = contextvars.Context()
         self.loss = settings.loss
         self._settings = settings
         self._randomness = randomness
@@ -146,8 +148,13 @@
         callback: Callable[..., object],
         *args: object,
     ) -> None:
-        """Run a callback on an end after a delay."""
-        context = target.context if isinstance(target, Host) else None
+        """Run a callback on an end after a delay.
+
+        An end that is no host must not inherit the sender's context: its
+        timers would stop when the sender is killed.
+        """
+        is_host = isinstance(target, Host)
+        context = target.context if is_host else self._outside
         self._loop.call_later(delay_s, callback, *args, context=context)
 
     def listen(
--- a/packages/tools/tests/memory_network_test.py
+++ b/packages/tools/tests/memory_network_test.py
@@ -10,6 +10,7 @@
     MemoryNetwork,
     MemoryPeerTransport,
     NetworkSettings,
+    Place,
 )
 
 NEAR = ('10.1.0.1', 7000)
@@ -111,3 +112,26 @@
         _a_replaced_host_breaks_old_connections,
     ):
         host_loop.run_on_hosts(case())
+
+
+def test_timers_of_an_upstream_outlive_the_vm_that_sent_to_it() -> None:
+    assert host_loop.run_on_hosts(_answer_after_the_senders_death())
+
+
+async def _answer_after_the_senders_death() -> bool:
+    network = MemoryNetwork(NetworkSettings(), random.Random(1))
+    sender = host_loop.Host('vm-1', 'pos-a')
+    answered = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def receive() -> None:
+        loop.call_later(0.5, answered.set)
+
+    async def send() -> None:
+        network.carry(sender, Place('booking-1', 'pos-a'), receive)
+
+    await sender.start(send())
+    await asyncio.sleep(0.1)
+    sender.kill()
+    await asyncio.sleep(1)
+    return answered.is_set()
