Carry flows by tokens on the users' platform: the thin whole path

Adds the token package (routes, registry, placement, forwarding, following of the store) and the platform folder (packet head, documents, store calls, settings template). UdpReceiver and the log format move to core, as both kinds of entry VM use them.

--- a/packages/node/src/hibiscushatch_node/log_format.py
+++ b/packages/core/src/hibiscushatch_core/log_format.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import time
+from typing import TextIO
 
 _STANDARD_FIELDS = frozenset(
     vars(logging.LogRecord('', 0, '', 0, '', None, None))
@@ -41,13 +42,14 @@
         )
 
 
-def set_up_logging(level: str) -> None:
-    """Send all log lines of a level and above to standard error.
+def set_up_logging(level: str, stream: TextIO | None = None) -> None:
+    """Send all log lines of a level and above to a stream.
 
     Args:
         level: Name of a level, such as ``INFO``.
+        stream: Where they go; standard error when None.
     """
-    handler = logging.StreamHandler()
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
 
--- a/packages/core/src/hibiscushatch_core/reasons.py
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -27,6 +27,7 @@
     SEND_FAILED = 'send_failed'
     PLACEMENT_PENDING = 'placement_pending'
     SYN_WITH_PAYLOAD = 'syn_with_payload'
+    UNKNOWN_TOKEN = 'unknown_token'
 
 
 class RefusalReason(enum.StrEnum):
@@ -40,6 +41,7 @@
     DOMAIN_OUT = 'domain_out'
     UPSTREAM_GONE = 'upstream_gone'
     SILENT_FLOW = 'silent_flow'
+    NO_ROUTE = 'no_route'
 
 
 class RetryReason(enum.StrEnum):
@@ -50,3 +52,5 @@
     PEER_CONNECT = 'peer_connect'
     PEER_SILENT = 'peer_silent'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    PLATFORM_STALE = 'platform_stale'
+    PLATFORM_HISTORY = 'platform_history'
--- a/packages/node/tests/log_format_test.py
+++ b/packages/core/tests/log_format_test.py
@@ -1,8 +1,8 @@
-"""Tests of hibiscushatch_node.log_format."""
+"""Tests of hibiscushatch_core.log_format."""
 
 import logging
 
-from hibiscushatch_node import log_format
+from hibiscushatch_core import log_format
 
 
 def test_extra_fields_follow_the_event_and_are_quoted_where_needed() -> None:
--- a/packages/node/src/hibiscushatch_node/daemon.py
+++ b/packages/node/src/hibiscushatch_node/daemon.py
@@ -15,14 +15,11 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
 from hibiscushatch_node.adapters.admin_api import AdminApi
 from hibiscushatch_node.adapters.etcd import EtcdPlatform
 from hibiscushatch_node.adapters.peer_socket import WebSocketTransport
-from hibiscushatch_node.adapters.udp import (
-    UdpPacketSender,
-    UdpReceiver,
-    open_udp_socket,
-)
+from hibiscushatch_node.adapters.udp import UdpPacketSender
 from hibiscushatch_node.entry_vm import EntryVm, EntryVmPorts
 from hibiscushatch_node.loop_lag import LoopLagMeter
 
--- a/packages/node/src/hibiscushatch_node/main.py
+++ b/packages/node/src/hibiscushatch_node/main.py
@@ -6,10 +6,10 @@
 
 import click
 
-from hibiscushatch_core import documents
+from hibiscushatch_core import documents, log_format
 from hibiscushatch_core.errors import HibiscushatchError, InvalidDocumentError
 from hibiscushatch_core.settings import NodeSettings
-from hibiscushatch_node import daemon, log_format
+from hibiscushatch_node import daemon
 
 EXIT_FAILED = 1
 EXIT_INVALID_SETTINGS = 2
--- a/packages/node/tests/udp_test.py
+++ b/packages/node/tests/udp_test.py
@@ -5,7 +5,7 @@
 
 import adapter_fixtures
 
-from hibiscushatch_core import packets
+from hibiscushatch_core import packets, udp_receiver
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.reasons import DropReason
 from hibiscushatch_node.adapters import udp
@@ -17,7 +17,7 @@
     bytes(20),
     b'\x60' + bytes(60),
     bytes(packets.PACKET_BYTES_MAX + 1),
-    bytes(udp.DATAGRAM_BYTES_MAX * 2),
+    bytes(udp_receiver.DATAGRAM_BYTES_MAX * 2),
 )
 
 
@@ -36,16 +36,16 @@
 
     counters = Counters()
     with (
-        adapter_fixtures.captured_log('hibiscushatch_node') as records,
-        udp.open_udp_socket(_address()) as inner,
+        adapter_fixtures.captured_log('hibiscushatch_core') as records,
+        udp_receiver.open_udp_socket(_address()) as inner,
     ):
-        receiver = udp.UdpReceiver(inner, handler, counters)
+        receiver = udp_receiver.UdpReceiver(inner, handler, counters)
         receiver.start()
-        with udp.open_udp_socket(_address()) as outer:
+        with udp_receiver.open_udp_socket(_address()) as outer:
             for datagram in DATAGRAMS:
                 outer.sendto(datagram, inner.getsockname())
                 received = await asyncio.wait_for(seen.get(), 5)
-                assert received == datagram[: udp.DATAGRAM_BYTES_MAX]
+                assert received == datagram[: udp_receiver.DATAGRAM_BYTES_MAX]
         receiver.stop()
     assert counters.unexpected_errors == len(DATAGRAMS)
     assert len(records) == 1
@@ -54,12 +54,12 @@
 @real_time
 async def test_oversized_datagrams_still_read_as_oversized() -> None:
     seen: asyncio.Queue[bytes] = asyncio.Queue()
-    with udp.open_udp_socket(_address()) as inner:
-        receiver = udp.UdpReceiver(
+    with udp_receiver.open_udp_socket(_address()) as inner:
+        receiver = udp_receiver.UdpReceiver(
             inner, lambda datagram, _: seen.put_nowait(datagram), Counters()
         )
         receiver.start()
-        with udp.open_udp_socket(_address()) as outer:
+        with udp_receiver.open_udp_socket(_address()) as outer:
             outer.sendto(b'\x45' + bytes(20000), inner.getsockname())
             received = await asyncio.wait_for(seen.get(), 5)
         receiver.stop()
@@ -69,21 +69,21 @@
 @real_time
 async def test_a_batch_is_bounded_and_nothing_is_left_behind() -> None:
     sizes: list[int] = []
-    with udp.open_udp_socket(_address()) as inner:
-        receiver = udp.UdpReceiver(
+    with udp_receiver.open_udp_socket(_address()) as inner:
+        receiver = udp_receiver.UdpReceiver(
             inner, lambda datagram, _: sizes.append(len(datagram)), Counters()
         )
-        with udp.open_udp_socket(_address()) as outer:
-            for size in range(udp.BATCH_DATAGRAMS_MAX * 2 + 1):
+        with udp_receiver.open_udp_socket(_address()) as outer:
+            for size in range(udp_receiver.BATCH_DATAGRAMS_MAX * 2 + 1):
                 outer.sendto(bytes(size), inner.getsockname())
         receiver.start()
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        assert len(sizes) <= udp.BATCH_DATAGRAMS_MAX * 2
-        while len(sizes) <= udp.BATCH_DATAGRAMS_MAX * 2:
+        assert len(sizes) <= udp_receiver.BATCH_DATAGRAMS_MAX * 2
+        while len(sizes) <= udp_receiver.BATCH_DATAGRAMS_MAX * 2:
             await asyncio.sleep(0)
         receiver.stop()
-    assert sizes == list(range(udp.BATCH_DATAGRAMS_MAX * 2 + 1))
+    assert sizes == list(range(udp_receiver.BATCH_DATAGRAMS_MAX * 2 + 1))
 
 
 def test_each_packet_leaves_from_the_right_socket() -> None:
@@ -96,8 +96,8 @@
     )
     with (
         target,
-        udp.open_udp_socket(settings.edge.pair) as edge,
-        udp.open_udp_socket(settings.relay.pair) as relay,
+        udp_receiver.open_udp_socket(settings.edge.pair) as edge,
+        udp_receiver.open_udp_socket(settings.relay.pair) as relay,
     ):
         sender = udp.UdpPacketSender(settings, edge, relay, Counters())
         sender.send_to_caller(b'caller')
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -0,0 +1,148 @@
+"""Puts an entry VM with token affinity together and runs it until a signal."""
+
+import asyncio
+import logging
+import random
+import signal
+import time
+
+from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_token import http1, store_follower
+from hibiscushatch_token.flow_table import FlowTable
+from hibiscushatch_token.forwarder import Forwarder
+from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.placement import Placement
+from hibiscushatch_token.ports import Documents, PacketCodec, Store
+from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.settings import TokenNodeSettings, socket_address
+
+_SWEEP_S = 0.2
+_EXPIRE_S = 5.0
+_OK = 200
+_UNAVAILABLE = 503
+
+_log = logging.getLogger(__name__)
+
+
+class EntryVm:
+    """One entry VM and what it is made of.
+
+    Args:
+        settings: Its settings.
+        codec: The format of packets.
+        store: The platform's store.
+        documents: Reads what lies in the store.
+    """
+
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        codec: PacketCodec,
+        store: Store,
+        documents: Documents,
+    ) -> None:
+        clock = time.monotonic
+        self._settings = settings
+        self._store = store
+        self._counters = Counters()
+        self._is_stopping = False
+        randomness = random.Random(settings.random_seed)  # noqa: S311
+        reachability = Reachability(randomness)
+        routing = Routing()
+        self._registry = Registry(
+            clock, settings.flow_age_max_s, reachability.forget
+        )
+        flows = FlowTable()
+        placement = Placement(
+            settings,
+            self._registry,
+            routing,
+            flows,
+            reachability,
+            clock,
+            randomness,
+        )
+        self._socket = open_udp_socket(socket_address(settings.packets))
+        self._forwarder = Forwarder(
+            settings,
+            codec,
+            routing,
+            self._registry,
+            flows,
+            placement,
+            reachability,
+            self._counters,
+            clock,
+            self._socket.sendto,
+        )
+        self._receiver = UdpReceiver(
+            self._socket, self._forwarder.handle, self._counters
+        )
+        self._followers = (
+            store_follower.operator_follower(
+                settings.store,
+                store,
+                documents,
+                routing,
+                self._counters,
+                randomness,
+            ),
+            store_follower.registry_follower(
+                settings.store,
+                store,
+                documents,
+                self._registry,
+                self._counters,
+                randomness,
+            ),
+        )
+        self._readiness = http1.Server(
+            socket_address(settings.readiness), {b'/-/ready': self._ready}
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then until callers are elsewhere."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await self._readiness.start()
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(one.run()) for one in self._followers
+            ]
+            tasks.append(group.create_task(self._start_forwarding()))
+            tasks.append(group.create_task(self._sweep()))
+            await stop.wait()
+            self._is_stopping = True
+            _log.info('stopping', extra={'vm': self._settings.name})
+            await asyncio.sleep(self._settings.rotation_s)
+            for task in tasks:
+                task.cancel()
+        self._receiver.stop()
+        self._readiness.close()
+        await self._store.close()
+        _log.info('stopped', extra={'vm': self._settings.name})
+
+    async def _start_forwarding(self) -> None:
+        for follower in self._followers:
+            await follower.has_list.wait()
+        self._receiver.start()
+        _log.info('ready', extra={'vm': self._settings.name})
+
+    async def _sweep(self) -> None:
+        swept = 0.0
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self._forwarder.sweep()
+            swept += _SWEEP_S
+            if swept >= _EXPIRE_S:
+                swept = 0
+                self._registry.expire()
+
+    def _ready(self) -> http1.Response:
+        is_ready = not self._is_stopping and all(
+            one.has_list.is_set() for one in self._followers
+        )
+        return http1.Response(_OK if is_ready else _UNAVAILABLE, b'')
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -0,0 +1,202 @@
+"""What this process believes: configuration, evacuations and upstreams.
+
+Each belief carries the store's revision that it comes from. A configuration
+with a lower version than the one in force is never applied, so that the
+process does not go back within its lifetime, whatever answer comes late.
+"""
+
+import logging
+from collections.abc import Callable, Iterable, Iterator
+
+from hibiscushatch_token.model import (
+    NO_CONFIG,
+    Endpoint,
+    RoutingConfig,
+    Upstream,
+    WeightedService,
+)
+
+_log = logging.getLogger(__name__)
+
+
+class Routing:
+    """The configuration in force and the evacuated failure domains."""
+
+    def __init__(self) -> None:
+        self._config = NO_CONFIG
+        self._evacuated: frozenset[str] = frozenset()
+
+    @property
+    def config(self) -> RoutingConfig:
+        """The configuration in force."""
+        return self._config
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains that must get no new flows."""
+        return self._evacuated
+
+    def services_of(self, endpoint: Endpoint) -> tuple[WeightedService, ...]:
+        """Return the services of an endpoint; none when it has no route."""
+        return self._config.routes.get(endpoint, ())
+
+    def apply_config(self, config: RoutingConfig, revision: int) -> None:
+        """Put a configuration in force unless it is older."""
+        before = self._config.version
+        if config.version <= before:
+            return
+        self._config = config
+        _log.info(
+            'configuration applied',
+            extra={
+                'version': config.version,
+                'replaced': before,
+                'revision': revision,
+                'routes': len(config.routes),
+            },
+        )
+
+    def set_evacuated(self, domains: frozenset[str], revision: int) -> None:
+        """Replace the set of evacuated failure domains."""
+        if domains == self._evacuated:
+            return
+        self._evacuated = domains
+        _log.info(
+            'evacuations changed',
+            extra={
+                'domains': ','.join(sorted(domains)) or 'none',
+                'revision': revision,
+            },
+        )
+
+
+class Registry:
+    """The upstreams that may get new flows, and those that still have some.
+
+    Args:
+        clock: Monotonic seconds.
+        flow_age_max_s: How long a removed upstream is still found by token.
+        forget: Called with an upstream whose process is no longer the one
+            that was known by its name.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        flow_age_max_s: float,
+        forget: Callable[[Upstream], None],
+    ) -> None:
+        self._clock = clock
+        self._flow_age_max_s = flow_age_max_s
+        self._forget = forget
+        self._listed: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._by_token: dict[int, Upstream] = {}
+        self._cold_until: dict[str, float] = {}
+        self._removed_at: dict[str, float] = {}
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of all listed upstreams."""
+        return frozenset(self._listed)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the listed upstreams of a service, draining ones too."""
+        return self._by_service.get(service, [])
+
+    def by_token(self, token: int) -> Upstream | None:
+        """Find the upstream of a flow, also one that was removed lately."""
+        return self._by_token.get(token)
+
+    def is_cold(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream has just started."""
+        return self._clock() < self._cold_until.get(upstream.name, 0)
+
+    def replace_all(
+        self,
+        entries: Iterable[tuple[str, Upstream | None]],
+        kept: frozenset[str],
+        revision: int,
+    ) -> None:
+        """Apply a complete list of entries.
+
+        Args:
+            entries: Name and upstream of each; None when it names none.
+            kept: Names that stay although they are not in the list.
+            revision: The store's revision of the list.
+        """
+        present = set()
+        for name, upstream in entries:
+            present.add(name)
+            self.apply(name, upstream, revision)
+        for name in self.names - present - kept:
+            self.apply(name, None, revision)
+
+    def apply(self, name: str, upstream: Upstream | None, revision: int) -> None:
+        """Apply one entry; None removes the upstream."""
+        known = self._listed.get(name)
+        if upstream is None:
+            self._remove(name, known, revision)
+            return
+        if known is not None and upstream.incarnation < known.incarnation:
+            return
+        if known is None or known.incarnation != upstream.incarnation:
+            self._forget(upstream)
+        if upstream.cold_s > 0:
+            self._cold_until[name] = self._clock() + upstream.cold_s
+        self._listed[name] = upstream
+        self._removed_at.pop(name, None)
+        self._by_token[upstream.token] = upstream
+        self._index(upstream.service)
+        if known is not None and known.service != upstream.service:
+            self._index(known.service)
+        if known is None or known.is_draining != upstream.is_draining:
+            _log_upstream('upstream listed', upstream, revision)
+
+    def expire(self) -> None:
+        """Forget tokens of upstreams removed longer ago than flows live."""
+        oldest = self._clock() - self._flow_age_max_s
+        expired = {
+            name for name, at in self._removed_at.items() if at < oldest
+        }
+        for name in expired:
+            self._removed_at.pop(name)
+            self._cold_until.pop(name, None)
+        for token, upstream in list(self._by_token.items()):
+            if upstream.name in expired:
+                self._by_token.pop(token)
+
+    def _remove(
+        self, name: str, known: Upstream | None, revision: int
+    ) -> None:
+        if known is None:
+            return
+        self._listed.pop(name)
+        self._removed_at[name] = self._clock()
+        self._index(known.service)
+        _log_upstream('upstream removed', known, revision)
+
+    def _index(self, service: str) -> None:
+        self._by_service[service] = list(self._members(service))
+
+    def _members(self, service: str) -> Iterator[Upstream]:
+        for name in sorted(self._listed):
+            upstream = self._listed[name]
+            if upstream.service == service:
+                yield upstream
+
+
+def _log_upstream(event: str, upstream: Upstream, revision: int) -> None:
+    _log.info(
+        event,
+        extra={
+            'upstream': upstream.name,
+            'service': upstream.service,
+            'address': '{}:{}'.format(*upstream.address),
+            'domain': upstream.domain,
+            'draining': upstream.is_draining,
+            'cold_s': upstream.cold_s,
+            'incarnation': upstream.incarnation,
+            'revision': revision,
+        },
+    )
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/model.py
@@ -0,0 +1,76 @@
+"""What an entry VM knows of routes and upstreams, as the decisions see it."""
+
+import dataclasses
+
+# An IPv4 address in network byte order and a port.
+Endpoint = tuple[bytes, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Upstream:
+    """An upstream as it is registered in the platform's store.
+
+    Attributes:
+        name: Its key in the registry.
+        identity: Leads each datagram, so that no other process takes it.
+        token: Names it in the packets of its flows; never 0.
+        service: The service that it belongs to.
+        address: Where it takes datagrams.
+        domain: Its failure domain.
+        slots: How many requests it works on at a time.
+        is_draining: It keeps its flows and must get no new ones.
+        cold_s: For how long it stayed cold when the entry was written.
+        incarnation: Start of its process, Unix time in milliseconds; 0 when
+            it did not say.
+    """
+
+    name: str
+    identity: bytes
+    token: int
+    service: str
+    address: tuple[str, int]
+    domain: str
+    slots: int
+    is_draining: bool
+    cold_s: float
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightedService:
+    """A service and its part of the new flows of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ServicePolicy:
+    """What the configuration says of a service.
+
+    Attributes:
+        cold_flows_per_s: New flows a second that a cold upstream bears; 0
+            when no allowance is stated.
+        connections: Flows that one upstream holds.
+    """
+
+    cold_flows_per_s: float
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingConfig:
+    """One version of the configuration.
+
+    Attributes:
+        version: Rises with each change.
+        routes: Services of each endpoint that callers use.
+        services: Policies by name of the service.
+    """
+
+    version: int
+    routes: dict[Endpoint, tuple[WeightedService, ...]]
+    services: dict[str, ServicePolicy]
+
+
+NO_CONFIG = RoutingConfig(version=0, routes={}, services={})
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -0,0 +1,121 @@
+"""Which upstream gets a new flow.
+
+The load answered is that of short requests, a flow each: an upstream works on
+as many as it has slots and queues the rest. The least loaded upstream gets the
+flow, counted in outstanding flows per slot from this entry VM; a remote one is
+chosen when the near ones are fuller by the cost of the way. Upstreams that do
+not answer are left out except for single flows that try them again.
+"""
+
+import random
+from collections.abc import Callable, Iterator
+
+from hibiscushatch_core.upstream_health import Verdict
+from hibiscushatch_token.flow_table import FlowTable
+from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.model import Upstream, WeightedService
+from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.settings import TokenNodeSettings
+
+
+class Placement:
+    """Chooses upstreams for new flows.
+
+    Args:
+        settings: Settings of this entry VM.
+        registry: The upstreams.
+        routing: Tells evacuated failure domains.
+        flows: Outstanding flows.
+        reachability: Which upstreams answer.
+        clock: Monotonic seconds.
+        randomness: Breaks ties.
+    """
+
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        registry: Registry,
+        routing: Routing,
+        flows: FlowTable,
+        reachability: Reachability,
+        clock: Callable[[], float],
+        randomness: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._routing = routing
+        self._flows = flows
+        self._reachability = reachability
+        self._clock = clock
+        self._randomness = randomness
+        self._chosen_at: dict[str, float] = {}
+
+    def choose(
+        self, services: tuple[WeightedService, ...], tried: tuple[str, ...]
+    ) -> Upstream | None:
+        """Choose the upstream of a new flow.
+
+        Args:
+            services: The services of its route.
+            tried: Names of upstreams that did not answer its earlier packets.
+
+        Returns:
+            The upstream; None when no upstream may get it.
+        """
+        service = self._draw_service(services)
+        eligible = list(self._eligible(service))
+        fresh = [one for one in eligible if one.name not in tried]
+        chosen = self._best(fresh or eligible)
+        if chosen is not None:
+            self._chosen_at[chosen.name] = self._clock()
+        return chosen
+
+    def _draw_service(self, services: tuple[WeightedService, ...]) -> str:
+        if len(services) == 1:
+            return services[0].service
+        weights = [one.weight for one in services]
+        return self._randomness.choices(services, weights)[0].service
+
+    def _eligible(self, service: str) -> Iterator[Upstream]:
+        evacuated = self._routing.evacuated
+        for upstream in self._registry.of_service(service):
+            if not upstream.is_draining and upstream.domain not in evacuated:
+                yield upstream
+
+    def _best(self, candidates: list[Upstream]) -> Upstream | None:
+        now = self._clock()
+        alive = []
+        for upstream in candidates:
+            if self._reachability.verdict(upstream) is not Verdict.DEAD:
+                alive.append(upstream)
+            elif self._reachability.may_probe(upstream, now):
+                self._reachability.probe_started(upstream, now)
+                return upstream
+        overdue = self._overdue(now)
+        return min(
+            alive or candidates,
+            key=lambda one: (
+                self._cost(one) + overdue.get(one.name, 0),
+                self._chosen_at.get(one.name, 0),
+            ),
+            default=None,
+        )
+
+    def _cost(self, upstream: Upstream) -> float:
+        limits = self._settings.placement
+        cost = self._flows.outstanding(upstream.name) / upstream.slots
+        if upstream.domain != self._settings.domain:
+            cost += limits.remote_cost
+        if self._registry.is_cold(upstream):
+            cost += limits.cold_cost
+        if self._reachability.verdict(upstream) is Verdict.SUSPECT:
+            cost += limits.unanswered_cost
+        return cost
+
+    def _overdue(self, now: float) -> dict[str, float]:
+        limits = self._settings.placement
+        costs: dict[str, float] = {}
+        for record in self._flows.unanswered(now - limits.overdue_s):
+            name = record.upstream.name
+            costs[name] = costs.get(name, 0) + limits.unanswered_cost
+        return costs
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -0,0 +1,159 @@
+"""What token affinity needs from outside, as abstract base classes."""
+
+import abc
+import dataclasses
+from collections.abc import Iterable, Iterator
+
+from hibiscushatch_core.errors import PlatformError
+from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.model import Endpoint, RoutingConfig, Upstream
+
+
+class HistoryLostError(PlatformError):
+    """The store no longer has the changes that a watch should go on with."""
+
+
+class FlowPacket:
+    """A packet of a caller, as far as an entry VM reads it.
+
+    Attributes:
+        datagram: The packet as it came.
+        flow: Addresses and ports of both ends, unique for a flow.
+        endpoint: Where the caller sent it.
+        token: The affinity token it carries; 0 for none.
+        is_opening: It asks for a new flow.
+        copy: How many opening packets of the flow the caller sent before.
+        is_last: The caller ends or resets the flow with it.
+    """
+
+    __slots__ = (
+        'datagram',
+        'flow',
+        'endpoint',
+        'token',
+        'is_opening',
+        'copy',
+        'is_last',
+    )
+
+    def __init__(
+        self,
+        datagram: bytes,
+        flow: bytes,
+        endpoint: Endpoint,
+        token: int,
+        is_opening: bool,
+        copy: int,
+        is_last: bool,
+    ) -> None:
+        self.datagram = datagram
+        self.flow = flow
+        self.endpoint = endpoint
+        self.token = token
+        self.is_opening = is_opening
+        self.copy = copy
+        self.is_last = is_last
+
+
+@dataclasses.dataclass(frozen=True)
+class Reset:
+    """A reset and the caller's address it is sent to."""
+
+    datagram: bytes
+    target: tuple[str, int]
+
+
+class PacketCodec(abc.ABC):
+    """The format of packets that carry a token."""
+
+    @abc.abstractmethod
+    def parse(self, datagram: bytes) -> FlowPacket | None:
+        """Read a caller's packet; None when it is none."""
+
+    @abc.abstractmethod
+    def describe(self, packet: FlowPacket) -> str:
+        """Name the flow of a packet in log lines."""
+
+    @abc.abstractmethod
+    def encapsulate(self, packet: FlowPacket, upstream: Upstream) -> bytes:
+        """Address a packet to an upstream, with its token in it."""
+
+    @abc.abstractmethod
+    def reset(self, packet: FlowPacket) -> Reset:
+        """Build the answer that ends the attempt to open a flow."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """All items under a prefix.
+
+    Attributes:
+        items: The items, by key.
+        revision: The store's revision that the answer reflects.
+    """
+
+    items: tuple[StoredValue, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Changes under a prefix, in order.
+
+    Attributes:
+        events: The changes; none when the wait ended without one.
+        revision: Where the next watch goes on.
+    """
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
+class Store(abc.ABC):
+    """The platform's store; each method raises PlatformUnavailableError."""
+
+    @abc.abstractmethod
+    async def read_prefix(self, prefix: str, allow_stale: bool) -> Listing:
+        """Read all items under a prefix; a stale read is much cheaper."""
+
+    @abc.abstractmethod
+    async def watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+        """Wait for changes after a revision; raises HistoryLostError."""
+
+    @abc.abstractmethod
+    async def put_with_ttl(self, key: str, value: bytes, ttl_s: float) -> None:
+        """Write a key that vanishes when its lease ends."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+class Documents(abc.ABC):
+    """Keys and documents in the store, read into the product's types."""
+
+    @property
+    @abc.abstractmethod
+    def operator_prefix(self) -> str:
+        """Prefix of what operators write."""
+
+    @property
+    @abc.abstractmethod
+    def registry_prefix(self) -> str:
+        """Prefix of the entries of upstreams."""
+
+    @abc.abstractmethod
+    def read_config(self, events: Iterable[WatchEvent]) -> RoutingConfig | None:
+        """Read the newest configuration among items; None when absent."""
+
+    @abc.abstractmethod
+    def evacuations(
+        self, events: Iterable[WatchEvent]
+    ) -> Iterator[tuple[str, bool]]:
+        """Yield failure domains and whether they are evacuated."""
+
+    @abc.abstractmethod
+    def registered(
+        self, events: Iterable[WatchEvent]
+    ) -> Iterator[tuple[str, Upstream | None]]:
+        """Yield upstreams by name; None for an entry that names none."""
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/reachability.py
@@ -0,0 +1,120 @@
+"""Which upstreams answer, judged from what follows an opening packet.
+
+A caller goes on with a flow as soon as its upstream has answered, so its next
+packet shows that the upstream lives and can be reached from here. A copy of
+the opening packet, or silence, shows the contrary. No probe is sent. Upstreams
+of a failure domain that all stop to answer are taken as cut off together.
+"""
+
+import logging
+import random
+
+from hibiscushatch_core.upstream_health import (
+    Failure,
+    HealthSettings,
+    UpstreamHealth,
+    Verdict,
+)
+from hibiscushatch_token.model import Upstream
+
+# One lost packet makes an upstream the last choice, a second one removes it
+# from the choice until a single flow tries it again.
+UPSTREAM_HEALTH = HealthSettings(
+    suspect_failures=1,
+    dead_failures=2,
+    dead_after_s=0,
+    answers_to_return=1,
+    probe_min_s=1.0,
+    probe_max_s=4.0,
+)
+# Several upstreams of a domain have to stay silent, as each may fail alone.
+DOMAIN_HEALTH = HealthSettings(
+    suspect_failures=2,
+    dead_failures=3,
+    dead_after_s=0,
+    answers_to_return=1,
+    probe_min_s=0.5,
+    probe_max_s=1.0,
+)
+
+_log = logging.getLogger(__name__)
+
+
+class Reachability:
+    """Health of upstreams and failure domains as seen from here.
+
+    Args:
+        randomness: Source of jitter of probes.
+    """
+
+    def __init__(self, randomness: random.Random) -> None:
+        self._randomness = randomness
+        self._upstreams: dict[str, UpstreamHealth] = {}
+        self._domains: dict[str, UpstreamHealth] = {}
+
+    def forget(self, upstream: Upstream) -> None:
+        """Drop what is known of an earlier process of an upstream."""
+        self._upstreams.pop(upstream.name, None)
+
+    def verdict(self, upstream: Upstream) -> Verdict:
+        """Return the worse verdict of an upstream and its domain."""
+        own = self._health(upstream).verdict
+        domain = self._domain(upstream).verdict
+        if Verdict.DEAD in (own, domain):
+            return Verdict.DEAD
+        return own
+
+    def may_probe(self, upstream: Upstream, now: float) -> bool:
+        """Tell whether a dead upstream is due for a single flow."""
+        return all(
+            one.verdict is not Verdict.DEAD or one.may_probe(now)
+            for one in (self._health(upstream), self._domain(upstream))
+        )
+
+    def probe_started(self, upstream: Upstream, now: float) -> None:
+        """Note that a flow was placed on a dead upstream."""
+        for one in (self._health(upstream), self._domain(upstream)):
+            if one.verdict is Verdict.DEAD:
+                one.probe_started(now, self._randomness)
+
+    def answered(self, upstream: Upstream, answer_s: float, now: float) -> None:
+        """Count an answer, so many seconds after the opening packet."""
+        before = self.verdict(upstream)
+        self._health(upstream).answered(answer_s, now)
+        self._domain(upstream).answered(answer_s, now)
+        self._log_change(upstream, before)
+
+    def unanswered(self, upstream: Upstream, now: float) -> None:
+        """Count an opening packet that got no answer."""
+        before = self.verdict(upstream)
+        self._health(upstream).failed(Failure.UNANSWERED, now)
+        self._domain(upstream).failed(Failure.UNANSWERED, now)
+        self._log_change(upstream, before)
+
+    def _health(self, upstream: Upstream) -> UpstreamHealth:
+        health = self._upstreams.get(upstream.name)
+        if health is None:
+            health = UpstreamHealth(UPSTREAM_HEALTH)
+            self._upstreams[upstream.name] = health
+        return health
+
+    def _domain(self, upstream: Upstream) -> UpstreamHealth:
+        health = self._domains.get(upstream.domain)
+        if health is None:
+            health = UpstreamHealth(DOMAIN_HEALTH)
+            self._domains[upstream.domain] = health
+        return health
+
+    def _log_change(self, upstream: Upstream, before: Verdict) -> None:
+        after = self.verdict(upstream)
+        if after is not before:
+            _log.info(
+                'upstream judged',
+                extra={
+                    'upstream': upstream.name,
+                    'domain': upstream.domain,
+                    'verdict': after.value,
+                    'replaced': before.value,
+                    'domain_verdict': self._domain(upstream).verdict.value,
+                },
+            )
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -0,0 +1,130 @@
+"""Settings of an entry VM with token affinity, read from a JSON file."""
+
+import pathlib
+from typing import Annotated
+
+import msgspec
+
+from hibiscushatch_core.errors import FieldProblem, InvalidDocumentError
+
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+_Fraction = Annotated[float, msgspec.Meta(ge=0, le=100)]
+_Count = Annotated[int, msgspec.Meta(ge=1)]
+_Address = Annotated[
+    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+]
+
+
+class StoreSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Where the platform's store answers, and how it is read.
+
+    Attributes:
+        address: IPv4 address and port.
+        call_timeout_s: Time for one answer; the store answers in some
+            milliseconds, and a slow one in up to half a second.
+        watch_wait_s: Longest wait of a watch. It bounds how long a watch on
+            a connection that fell silent goes unnoticed.
+        retry_min_s: First pause after a failed call.
+        retry_max_s: Longest pause after failed calls.
+        lapse_grace_s: How long entries that vanished while the store was
+            away are still used after its return.
+    """
+
+    address: _Address
+    call_timeout_s: _Seconds = 1.0
+    watch_wait_s: _Seconds = 20.0
+    retry_min_s: _Seconds = 0.1
+    retry_max_s: _Seconds = 0.5
+    lapse_grace_s: _Seconds = 2.2
+
+
+class PlacementSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """How new flows are placed.
+
+    Attributes:
+        remote_cost: What another failure domain costs, in flows per slot.
+        cold_cost: What a cold upstream costs, in flows per slot.
+        unanswered_cost: What an opening packet that is overdue costs, in
+            flows per slot.
+        overdue_s: When an opening packet without an answer is overdue; the
+            longest round trip between caller and upstream is 20 ms.
+        copy_gap_s: A copy of an opening packet this long after the last one
+            means that no answer came; callers wait 200 ms.
+        idle_s: A flow without packets for this long no longer counts as
+            outstanding.
+    """
+
+    remote_cost: _Fraction = 0.7
+    cold_cost: _Fraction = 0.5
+    unanswered_cost: _Fraction = 1.0
+    overdue_s: _Seconds = 0.06
+    copy_gap_s: _Seconds = 0.15
+    idle_s: _Seconds = 3.0
+
+
+class TokenNodeSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Everything one entry VM with token affinity is told.
+
+    Attributes:
+        name: Its name.
+        domain: Its failure domain.
+        packets: UDP address of the packets of callers.
+        readiness: HTTP address of the readiness check.
+        metrics: HTTP address of the metrics.
+        store: The platform's store.
+        placement: How new flows are placed.
+        stop_grace_s: Time from SIGTERM to SIGKILL.
+        rotation_s: Time that the fabric takes to notice that the readiness
+            check fails: two checks at two a second, and an answer.
+        flow_age_max_s: Oldest flow that has to be carried.
+        log_level: Least level of log lines.
+        log_lines_per_s: Log lines a second beyond which lines are dropped.
+        random_seed: Seed of placement; drawn when absent.
+    """
+
+    name: str
+    domain: str
+    packets: _Address
+    readiness: _Address
+    metrics: _Address
+    store: StoreSettings
+    placement: PlacementSettings = PlacementSettings()
+    stop_grace_s: _Seconds = 6.0
+    rotation_s: _Seconds = 1.8
+    flow_age_max_s: _Seconds = 60.0
+    log_level: str = 'INFO'
+    log_lines_per_s: _Count = 200
+    random_seed: int | None = None
+
+
+def read_settings(path: pathlib.Path) -> TokenNodeSettings:
+    """Read and validate the settings file.
+
+    Args:
+        path: A JSON file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        InvalidDocumentError: When it can't be read or a field is wrong.
+    """
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=TokenNodeSettings)
+    except (OSError, msgspec.MsgspecError) as error:
+        problem = FieldProblem('$', str(error))
+        raise InvalidDocumentError(
+            'reading settings', str(path), (problem,)
+        ) from error
+
+
+def socket_address(text: str) -> tuple[str, int]:
+    """Split an address such as ``10.0.0.1:443`` for the socket module."""
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- a/packages/tools/src/hibiscushatch_tools/bare_forwarder.py
+++ b/packages/tools/src/hibiscushatch_tools/bare_forwarder.py
@@ -11,7 +11,7 @@
 import click
 
 from hibiscushatch_core.counters import Counters
-from hibiscushatch_node.adapters.udp import (
+from hibiscushatch_core.udp_receiver import (
     DATAGRAM_BYTES_MAX,
     UdpReceiver,
     open_udp_socket,
--- a/packages/tools/src/hibiscushatch_tools/packet_flood.py
+++ b/packages/tools/src/hibiscushatch_tools/packet_flood.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Sequence
 
-from hibiscushatch_node.adapters.udp import open_udp_socket
+from hibiscushatch_core.udp_receiver import open_udp_socket
 
 SENDS_BETWEEN_CLOCK_READS = 256
 POLL_INTERVAL_S = 0.05
--- a/packages/tools/tests/daemon_process_test.py
+++ b/packages/tools/tests/daemon_process_test.py
@@ -7,9 +7,9 @@
 import sys
 from collections.abc import AsyncIterator
 
+from hibiscushatch_core import udp_receiver
 from hibiscushatch_core.settings import NodeSettings
 from hibiscushatch_node import main as node_main
-from hibiscushatch_node.adapters import udp
 from hibiscushatch_tools import demo_plan, entry_processes, loopback_net
 from hibiscushatch_tools.admin_client import AdminClient
 from hibiscushatch_tools.fleet_processes import FleetProcesses
@@ -91,8 +91,8 @@
         loopback_net.own_net(), demo_plan.DOMAINS, 4
     )
     addresses = (
-        (udp.open_udp_socket, fleet[0].edge),
-        (udp.open_udp_socket, fleet[1].relay),
+        (udp_receiver.open_udp_socket, fleet[0].edge),
+        (udp_receiver.open_udp_socket, fleet[1].relay),
         (socket.create_server, fleet[2].control),
         (socket.create_server, fleet[3].admin),
     )
--- a/packages/tools/tests/load_run_test.py
+++ b/packages/tools/tests/load_run_test.py
@@ -7,9 +7,9 @@
 import standins_fixtures
 from click.testing import CliRunner
 
+from hibiscushatch_core import udp_receiver
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.packets import TCP
-from hibiscushatch_node.adapters import udp
 from hibiscushatch_ops import load_run
 from hibiscushatch_ops.main import main
 from hibiscushatch_tools import loopback_net
@@ -43,14 +43,14 @@
 
 @contextlib.contextmanager
 def _upstream_at_edge() -> Iterator[None]:
-    with udp.open_udp_socket(EDGE) as edge:
+    with udp_receiver.open_udp_socket(EDGE) as edge:
         standin = UpstreamStandIn(
             standins_fixtures.UPSTREAM,
             PayloadLedger(),
             random.Random(1),
             lambda packet: edge.sendto(packet, FABRIC),
         )
-        receiver = udp.UdpReceiver(
+        receiver = udp_receiver.UdpReceiver(
             edge, lambda packet, _: standin.receive(packet), Counters()
         )
         receiver.start()
