--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -8,103 +8,170 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
-from hibiscushatch_token import http1, store_follower
+from hibiscushatch_token import http1
 from hibiscushatch_token.flow_table import FlowTable
 from hibiscushatch_token.forwarder import Forwarder
 from hibiscushatch_token.knowledge import Registry, Routing
 from hibiscushatch_token.partition import PartitionDetector
+from hibiscushatch_token.peer_socket import PeerSocket
 from hibiscushatch_token.placement import Placement
-from hibiscushatch_token.ports import Documents, PacketCodec, Store
+from hibiscushatch_token.ports import Changes, Documents, PacketCodec, Store
+from hibiscushatch_token.publisher import Address, Publisher
 from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
+from hibiscushatch_token.store_reader import StoreReader
+from hibiscushatch_token.subscriber import SNAPSHOT_PATH, Subscriber
 
 _SWEEP_S = 0.1
 # A sweep this much later than planned follows a pause of the process; answers
 # may still wait in the socket then.
 _PAUSE_S = 0.1
 _EXPIRE_S = 5.0
+_START_CHECK_S = 0.01
 _OK = 200
 _UNAVAILABLE = 503
 
 _log = logging.getLogger(__name__)
 
 
-class EntryVm:
-    """One entry VM and what it is made of.
+class TrafficSide:
+    """What carries packets: tables, decisions and the socket of callers.
 
     Args:
-        settings: Its settings.
+        settings: Settings of this entry VM.
         codec: The format of packets.
-        store: The platform's store.
-        documents: Reads what lies in the store.
+        counters: Counts of this process.
+        randomness: Breaks ties and spreads probes.
     """
 
     def __init__(
         self,
         settings: TokenNodeSettings,
         codec: PacketCodec,
-        store: Store,
-        documents: Documents,
+        counters: Counters,
+        randomness: random.Random,
     ) -> None:
         clock = time.monotonic
-        self._settings = settings
-        self._name = settings.name
-        self._store = store
-        self._counters = Counters()
-        self._is_stopping = False
-        randomness = random.Random(settings.random_seed)  # noqa: S311
         reachability = Reachability(randomness)
-        routing = Routing()
-        self._registry = Registry(
+        self.routing = Routing()
+        self.registry = Registry(
             clock, settings.flow_age_max_s, reachability.forget
         )
         flows = FlowTable()
-        placement = Placement(
+        self.placement = Placement(
             settings,
-            self._registry,
-            routing,
+            self.registry,
+            self.routing,
             flows,
             reachability,
             clock,
             randomness,
         )
-        self._socket = open_udp_socket(socket_address(settings.packets))
-        self._forwarder = Forwarder(
+        edge = open_udp_socket(socket_address(settings.packets))
+        self.forwarder = Forwarder(
             settings,
             codec,
-            routing,
-            self._registry,
+            self.routing,
+            self.registry,
             flows,
-            placement,
+            self.placement,
             reachability,
-            self._counters,
+            counters,
             clock,
-            self._socket.sendto,
+            edge.sendto,
+        )
+        self.receiver = UdpReceiver(edge, self.forwarder.handle, counters)
+
+
+class ControlSide:
+    """What keeps the replica of the store up to date, here and at peers.
+
+    Args:
+        settings: Settings of this entry VM.
+        store: The platform's store.
+        documents: Reads what lies in the store.
+        traffic: Told what is new.
+        counters: Counts of this process.
+        randomness: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        store: Store,
+        documents: Documents,
+        traffic: TrafficSide,
+        counters: Counters,
+        randomness: random.Random,
+    ) -> None:
+        clock = time.monotonic
+        control = socket_address(settings.control)
+        udp_socket = open_udp_socket(control)
+        peers = PeerSocket(udp_socket, counters)
+        self.receiver = UdpReceiver(udp_socket, peers.handle, counters)
+        self.replica = StoreReplica(
+            documents,
+            traffic.routing,
+            traffic.registry,
+            clock,
+            settings.store.lapse_grace_s,
+            settings.store.outage_s,
+        )
+        self.publisher = Publisher(settings, self.replica, clock, peers.send)
+        self.subscriber = Subscriber(
+            settings, self.replica, peers.send, self._changed
+        )
+        peers.connect(self.publisher.subscribed, self.subscriber.announced)
+        self.reader = StoreReader(
+            settings.store,
+            store,
+            self.replica,
+            counters,
+            randomness,
+            settings.control in settings.publishers,
+            self._changed,
         )
-        self._receiver = UdpReceiver(
-            self._socket, self._forwarder.handle, self._counters
+        self.server = http1.Server(
+            control, {SNAPSHOT_PATH.encode(): self.publisher.snapshot}
         )
-        self._followers = (
-            store_follower.operator_follower(
-                settings.store,
-                store,
-                documents,
-                routing,
-                self._counters,
-                randomness,
-            ),
-            store_follower.registry_follower(
-                settings.store,
-                store,
-                documents,
-                self._registry,
-                self._counters,
-                randomness,
-            ),
+
+    def _changed(self, before: int, changes: Changes) -> None:
+        self.publisher.changed(before, changes)
+
+
+class EntryVm:
+    """One entry VM and what it is made of.
+
+    Args:
+        settings: Its settings.
+        codec: The format of packets.
+        store: The platform's store.
+        documents: Reads what lies in the store.
+    """
+
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        codec: PacketCodec,
+        store: Store,
+        documents: Documents,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._is_stopping = False
+        counters = Counters()
+        randomness = random.Random(settings.random_seed)  # noqa: S311
+        self._traffic = TrafficSide(settings, codec, counters, randomness)
+        self._control = ControlSide(
+            settings, store, documents, self._traffic, counters, randomness
+        )
+        self._partition = PartitionDetector(
+            store, self._traffic.placement, time.monotonic
         )
-        self._partition = PartitionDetector(store, placement, clock)
         self._readiness = http1.Server(
-            socket_address(settings.readiness), {b'/-/ready': self._ready}
+            socket_address(settings.readiness),
+            {settings.readiness_path.encode(): self._ready},
         )
 
     async def run(self) -> None:
@@ -115,29 +182,46 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         await self._readiness.start()
+        await self._control.server.start()
+        self._control.receiver.start()
         async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(one.run()) for one in self._followers
-            ]
-            tasks.append(group.create_task(self._start_forwarding()))
-            tasks.append(group.create_task(self._sweep()))
-            tasks.append(group.create_task(self._partition.run()))
+            tasks = [group.create_task(one) for one in self._activities()]
             await stop.wait()
             self._is_stopping = True
             _log.info('stopping', extra={'vm': self._settings.name})
             await asyncio.sleep(self._settings.rotation_s)
             for task in tasks:
                 task.cancel()
-        self._receiver.stop()
+        self._traffic.receiver.stop()
+        self._control.receiver.stop()
+        self._control.server.close()
         self._readiness.close()
         await self._store.close()
         _log.info('stopped', extra={'vm': self._settings.name})
 
+    def _activities(self) -> tuple:
+        control = self._control
+        return (
+            control.reader.run(),
+            control.publisher.run(),
+            control.subscriber.run(),
+            control.subscriber.fetch(),
+            self._partition.run(),
+            self._start_forwarding(),
+            self._sweep(),
+        )
+
     async def _start_forwarding(self) -> None:
-        for follower in self._followers:
-            await follower.has_list.wait()
-        self._receiver.start()
-        _log.info('ready', extra={'vm': self._settings.name})
+        while not self._is_informed():
+            await asyncio.sleep(_START_CHECK_S)
+        self._traffic.receiver.start()
+        _log.info(
+            'ready',
+            extra={
+                'vm': self._settings.name,
+                'revision': self._control.replica.revision,
+            },
+        )
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
@@ -146,20 +230,24 @@
             planned_at = loop.time() + _SWEEP_S
             await asyncio.sleep(_SWEEP_S)
             now = loop.time()
+            self._control.replica.expire()
             if now - planned_at < _PAUSE_S:
-                self._forwarder.sweep()
+                self._traffic.forwarder.sweep()
             if now - expired_at >= _EXPIRE_S:
                 expired_at = now
-                self._registry.expire()
+                self._traffic.registry.expire()
+
+    def _is_informed(self) -> bool:
+        return self._control.replica.revision > 0
 
     def _note_reload(self) -> None:
         # Addresses and the failure domain are fixed for the life of a
         # process; nothing else in the settings differs between machines.
-        _log.info('reload asked, settings kept', extra={'vm': self._name})
+        _log.info(
+            'reload asked, settings kept', extra={'vm': self._settings.name}
+        )
 
-    def _ready(self) -> http1.Response:
+    def _ready(self, _query: bytes) -> http1.Response:
         is_out = self._is_stopping or self._partition.is_cut_off
-        is_ready = not is_out and all(
-            one.has_list.is_set() for one in self._followers
-        )
+        is_ready = self._is_informed() and not is_out
         return http1.Response(_OK if is_ready else _UNAVAILABLE, b'')
--- a/packages/token/src/hibiscushatch_token/http1.py
+++ b/packages/token/src/hibiscushatch_token/http1.py
@@ -128,13 +128,13 @@
 
     Args:
         address: IPv4 address and port to listen on.
-        handlers: Builds the response of each path.
+        handlers: Builds the response of each path from the query.
     """
 
     def __init__(
         self,
         address: tuple[str, int],
-        handlers: dict[bytes, Callable[[], Response]],
+        handlers: dict[bytes, Callable[[bytes], Response]],
     ) -> None:
         self._address = address
         self._handlers = handlers
@@ -179,8 +179,8 @@
                 break
             elif not isinstance(event, h11.Data):
                 return False
-        handler = self._handlers.get(target.partition(b'?')[0], _not_found)
-        response = handler()
+        path, _, query = target.partition(b'?')
+        response = self._handlers.get(path, _not_found)(query)
         head = h11.Response(
             status_code=response.status,
             headers=[
@@ -218,5 +218,5 @@
         connected.setsockopt(level, option, setting)
 
 
-def _not_found() -> Response:
+def _not_found(_query: bytes) -> Response:
     return Response(404, b'')
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/replica.py
@@ -0,0 +1,187 @@
+"""The items of the platform's store as far as this process has seen them.
+
+Listings and changes come from the store itself or from another entry VM, in
+any order and more than once. Each carries the store's revision: what is older
+than the replica is ignored, and changes that do not follow on it are refused.
+The replica passes on what is new to the routes and the registry.
+"""
+
+import logging
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
+
+from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.ports import Changes, Documents, Listing
+
+_log = logging.getLogger(__name__)
+
+
+class StoreReplica:
+    """Items by key, the revision they reflect, and how recent that is.
+
+    Args:
+        documents: Reads the items.
+        routing: Told of configurations and evacuations.
+        registry: Told of upstreams.
+        clock: Monotonic seconds.
+        lapse_grace_s: How long upstreams are kept whose entries are missing
+            when the store comes back.
+        outage_s: Time without proof of being up to date that counts as an
+            outage of the store.
+    """
+
+    def __init__(
+        self,
+        documents: Documents,
+        routing: Routing,
+        registry: Registry,
+        clock: Callable[[], float],
+        lapse_grace_s: float,
+        outage_s: float,
+    ) -> None:
+        self._documents = documents
+        self._routing = routing
+        self._registry = registry
+        self._clock = clock
+        self._lapse_grace_s = lapse_grace_s
+        self._outage_s = outage_s
+        self._items: dict[str, StoredValue] = {}
+        self._revision = 0
+        self._proved_at = clock()
+        self._lapses_until = 0.0
+        self._missing: dict[str, int] = {}
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store that the items reflect; 0 before any."""
+        return self._revision
+
+    @property
+    def items(self) -> Iterable[StoredValue]:
+        """All items."""
+        return self._items.values()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the items were known to be the newest."""
+        return self._clock() - self._proved_at
+
+    def merge_listing(self, listing: Listing) -> Changes:
+        """Take over a complete listing unless it is older.
+
+        Args:
+            listing: All items of the store at one revision.
+
+        Returns:
+            What it changed.
+        """
+        if listing.revision < self._revision:
+            return Changes((), self._revision)
+        listed = {item.key for item in listing.items}
+        events = [
+            WatchEvent(item.key, item.value, item.mod_revision)
+            for item in listing.items
+            if self._is_news(item.key, item.mod_revision)
+        ]
+        events.extend(
+            WatchEvent(key, None, listing.revision)
+            for key in self._items.keys() - listed
+        )
+        return self._apply(events, listing.revision)
+
+    def merge_changes(self, before: int, changes: Changes) -> Changes | None:
+        """Apply changes that follow on a revision.
+
+        Args:
+            before: The changes are all that came after this revision.
+            changes: The changes and the revision that they lead to.
+
+        Returns:
+            What was new among them; None when changes before them are
+            missing here.
+        """
+        if before > self._revision:
+            return None
+        events = [
+            event
+            for event in changes.events
+            if event.mod_revision > self._revision
+        ]
+        return self._apply(events, max(changes.revision, self._revision))
+
+    def prove(self, age_s: float) -> None:
+        """Note that the items were the newest so many seconds ago."""
+        now = self._clock()
+        if self._revision and self.age_s > self._outage_s:
+            self._lapses_until = now + self._lapse_grace_s
+            _log.info(
+                'up to date again',
+                extra={
+                    'revision': self._revision,
+                    'outage_s': round(self.age_s, 3),
+                },
+            )
+        self._proved_at = max(self._proved_at, now - age_s)
+
+    def expire(self) -> None:
+        """Remove upstreams whose entries did not come back in time."""
+        if self._missing and self._clock() >= self._lapses_until:
+            missing = self._missing
+            self._missing = {}
+            for name, revision in missing.items():
+                self._registry.apply(name, None, revision)
+
+    def _is_news(self, key: str, revision: int) -> bool:
+        known = self._items.get(key)
+        return known is None or known.mod_revision < revision
+
+    def _apply(self, events: list[WatchEvent], revision: int) -> Changes:
+        for event in events:
+            if event.value is None:
+                self._items.pop(event.key, None)
+            else:
+                self._items[event.key] = StoredValue(
+                    event.key, event.value, event.mod_revision
+                )
+        self._revision = revision
+        self._apply_operator(events, revision)
+        for name, upstream in self._documents.registered(events):
+            if upstream is None and self._may_have_lapsed(name):
+                self._missing[name] = revision
+            else:
+                self._missing.pop(name, None)
+                self._registry.apply(name, upstream, revision)
+        return Changes(tuple(events), revision)
+
+    def _may_have_lapsed(self, name: str) -> bool:
+        key = self._documents.registry_prefix + name
+        is_missing = key not in self._items
+        is_outage = self.age_s > self._outage_s
+        return is_missing and (is_outage or self._clock() < self._lapses_until)
+
+    def _apply_operator(self, events: list[WatchEvent], revision: int) -> None:
+        try:
+            config = self._documents.read_config(events)
+        except (msgspec.MsgspecError, ValueError, OSError) as error:
+            # The configuration in force stays; the store accepts only valid
+            # ones, so this one is from a version that is not understood.
+            _log.error(
+                'configuration unreadable',
+                extra={'revision': revision, 'error': str(error)},
+            )
+            config = None
+        if config is not None:
+            self._routing.apply_config(config, revision)
+        evacuated = frozenset(self._evacuated_domains())
+        self._routing.set_evacuated(evacuated, revision)
+
+    def _evacuated_domains(self) -> Iterator[str]:
+        events = (
+            WatchEvent(item.key, item.value, item.mod_revision)
+            for item in self._items.values()
+        )
+        for domain, is_out in self._documents.evacuations(events):
+            if is_out:
+                yield domain
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -25,6 +25,11 @@
             milliseconds, and a slow one in up to half a second.
         watch_wait_s: Longest wait of a watch. It bounds how long a watch on
             a connection that fell silent goes unnoticed.
+        fresh_s: An entry VM that nobody has told for this long that it is up
+            to date reads the store itself; the shortest time in which a
+            change has to be in force is 3 s.
+        outage_s: Time without reading the store after which entries may have
+            lapsed meanwhile; they do after three heartbeats of an upstream.
         retry_min_s: First pause after a failed call.
         retry_max_s: Longest pause after failed calls.
         lapse_grace_s: How long entries that vanished while the store was
@@ -33,7 +38,9 @@
 
     address: _Address
     call_timeout_s: _Seconds = 1.0
-    watch_wait_s: _Seconds = 20.0
+    watch_wait_s: _Seconds = 1.5
+    fresh_s: _Seconds = 2.0
+    outage_s: _Seconds = 2.5
     retry_min_s: _Seconds = 0.1
     retry_max_s: _Seconds = 0.5
     lapse_grace_s: _Seconds = 2.2
@@ -77,6 +84,10 @@
         domain: Its failure domain.
         packets: UDP address of the packets of callers.
         readiness: HTTP address of the readiness check.
+        readiness_path: Path of the readiness check.
+        control: UDP and HTTP address for other entry VMs.
+        publishers: Control addresses of the entry VMs that read the store
+            for the others; those that are away do no harm.
         metrics: HTTP address of the metrics.
         store: The platform's store.
         placement: How new flows are placed.
@@ -93,6 +104,9 @@
     domain: str
     packets: _Address
     readiness: _Address
+    readiness_path: str = '/ready'
+    control: _Address
+    publishers: list[_Address] = []
     metrics: _Address
     store: StoreSettings
     placement: PlacementSettings = PlacementSettings()
