Subscribe to one publisher, near where possible

An entry VM now follows one publisher that is up to date, in its own failure domain first, and all only while it hears none.

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -118,9 +118,15 @@
             settings.store.lapse_grace_s,
             settings.store.outage_s,
         )
-        self.publisher = Publisher(settings, self.replica, clock, peers.send)
         self.subscriber = Subscriber(
-            settings, self.replica, peers.send, self._changed
+            settings, self.replica, clock, peers.send, self._changed
+        )
+        self.publisher = Publisher(
+            settings,
+            self.replica,
+            clock,
+            peers.send,
+            self.subscriber.served_by_others,
         )
         peers.connect(self.publisher.subscribed, self.subscriber.announced)
         self.reader = StoreReader(
--- a/packages/token/src/hibiscushatch_token/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/peer_messages.py
@@ -37,17 +37,22 @@
     Attributes:
         vm: Name of the publisher.
         control: Address at which it answers requests for a snapshot.
+        domain: Its failure domain.
         revision: Revision of the store that it has reached.
         age_ms: How long ago that was the newest one.
-        fleet: How many entry VMs subscribe to it, itself included.
+        served: How many entry VMs it serves, itself included; other
+            publishers do not count.
+        fleet: The sum over all publishers that it hears.
         before: The items are all changes after this revision.
         items: The latest changes; none when they are too large.
     """
 
     vm: str
     control: str
+    domain: str
     revision: int
     age_ms: int
+    served: int
     fleet: int
     before: int
     items: list[Item] = []
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -14,7 +14,7 @@
 from hibiscushatch_token.peer_messages import Announcement, Snapshot
 from hibiscushatch_token.ports import Changes
 from hibiscushatch_token.replica import StoreReplica
-from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 HEARTBEAT_S = 0.5
 # Six heartbeats without a subscription.
@@ -38,6 +38,7 @@
         replica: What is announced.
         clock: Monotonic seconds.
         send: Sends a datagram.
+        served_by_others: Counts entry VMs that other publishers serve.
     """
 
     def __init__(
@@ -46,11 +47,16 @@
         replica: StoreReplica,
         clock: Callable[[], float],
         send: SendDatagram,
+        served_by_others: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._replica = replica
         self._clock = clock
         self._send = send
+        self._served_by_others = served_by_others
+        self._others = frozenset(
+            socket_address(one) for one in settings.publishers
+        )
         self._heard_at: dict[Address, float] = {}
         self._recent: collections.deque[WatchEvent] = collections.deque(
             maxlen=_RECENT_CHANGES
@@ -60,9 +66,9 @@
         self._changed_at = 0.0
 
     @property
-    def fleet(self) -> int:
-        """Number of subscribers and this entry VM."""
-        return len(self._heard_at) + 1
+    def served(self) -> int:
+        """Number of subscribers that are no publishers, and this VM."""
+        return len(self._heard_at.keys() - self._others) + 1
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -144,9 +150,11 @@
             Announcement(
                 self._settings.name,
                 self._settings.control,
+                self._settings.domain,
                 self._replica.revision,
                 self._age_ms(),
-                self.fleet,
+                self.served,
+                self.served + self._served_by_others(),
                 before,
                 items,
             )
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 import h11
+import msgspec
 
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.ports import StoredValue
@@ -16,24 +17,48 @@
 from hibiscushatch_token.http1 import ClientConnection
 from hibiscushatch_token.peer_messages import Announcement, Subscription
 from hibiscushatch_token.ports import Changes, Listing
-from hibiscushatch_token.publisher import Address, SendDatagram
+from hibiscushatch_token.publisher import SendDatagram
 from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 SNAPSHOT_PATH = '/v1/snapshot'
 _SUBSCRIBE_S = 0.5
 _SNAPSHOT_TIMEOUT_S = 1.0
-_OK = 200
+# Two heartbeats of a publisher and some delay.
+_SOURCE_SILENT_S = 1.2
+# A publisher's watch ends at least every 1.5 s.
+_CURRENT_MS = 1800
 
 _log = logging.getLogger(__name__)
 
 
+class _Source(msgspec.Struct):
+    """What is known of one publisher.
+
+    Attributes:
+        heard_at: When its latest announcement came.
+        domain: Its failure domain; empty before it was heard.
+        served: How many entry VMs it serves.
+        is_current: The announcement was of a replica that is up to date.
+    """
+
+    heard_at: float = float('-inf')
+    domain: str = ''
+    served: int = 0
+    is_current: bool = False
+
+
 class Subscriber:
     """Follows the publishers.
 
+    A publisher subscribes to all others. Any other entry VM subscribes to one
+    that is up to date, in its own failure domain where there is one, and to
+    all of them as long as it hears none.
+
     Args:
         settings: Settings of this entry VM.
         replica: What is kept up to date.
+        clock: Monotonic seconds.
         send: Sends a datagram.
         changed: Called with the revision before changes and the changes.
     """
@@ -42,34 +67,44 @@
         self,
         settings: TokenNodeSettings,
         replica: StoreReplica,
+        clock: Callable[[], float],
         send: SendDatagram,
         changed: Callable[[int, Changes], None],
     ) -> None:
-        self._publishers = tuple(
-            socket_address(one)
-            for one in settings.publishers
-            if one != settings.control
-        )
+        self._settings = settings
         self._replica = replica
+        self._clock = clock
         self._send = send
         self._changed = changed
+        self._sources = {
+            one: _Source()
+            for one in settings.publishers
+            if one != settings.control
+        }
+        self._is_publisher = settings.control in settings.publishers
         self._subscription = peer_messages.encode_datagram(
             Subscription(settings.name, settings.control)
         )
         self._fleet = 0
         self._wanted = asyncio.Event()
-        self._source: Address | None = None
+        self._snapshot_from = ''
 
     @property
     def fleet(self) -> int:
-        """The largest number of entry VMs that a publisher counted."""
+        """The most entry VMs that publishers ever counted; 0 for unknown."""
         return self._fleet
 
+    def served_by_others(self) -> int:
+        """Count the entry VMs that other publishers serve."""
+        return sum(
+            one.served for one in self._sources.values() if self._is_heard(one)
+        )
+
     async def run(self) -> None:
         """Subscribe again and again until cancelled."""
         while True:
-            for address in self._publishers:
-                self._send(self._subscription, address)
+            for control in self._wanted_sources():
+                self._send(self._subscription, socket_address(control))
             await asyncio.sleep(_SUBSCRIBE_S)
 
     async def fetch(self) -> None:
@@ -77,12 +112,17 @@
         while True:
             await self._wanted.wait()
             self._wanted.clear()
-            if self._source is not None:
-                await self._fetch_from(self._source)
+            await self._fetch_from(self._snapshot_from)
 
     def announced(self, message: Announcement) -> None:
         """Take over what a publisher announced."""
         self._fleet = max(self._fleet, message.fleet)
+        source = self._sources.get(message.control)
+        if source is not None:
+            source.heard_at = self._clock()
+            source.domain = message.domain
+            source.served = message.served
+            source.is_current = message.age_ms <= _CURRENT_MS
         before = self._replica.revision
         if message.revision < before:
             return
@@ -94,16 +134,33 @@
                 ),
             )
             if changes is None:
-                self._source = socket_address(message.control)
+                self._snapshot_from = message.control
                 self._wanted.set()
                 return
             self._changed(before, changes)
         self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
 
-    async def _fetch_from(self, address: Address) -> None:
-        peer = '{}:{}'.format(*address)
+    def _wanted_sources(self) -> list[str]:
+        if self._is_publisher:
+            return list(self._sources)
+        current = [
+            control
+            for control, source in self._sources.items()
+            if source.is_current and self._is_heard(source)
+        ]
+        near = [
+            control
+            for control in current
+            if self._sources[control].domain == self._settings.domain
+        ]
+        return (near or current)[:1] or list(self._sources)
+
+    def _is_heard(self, source: _Source) -> bool:
+        return self._clock() - source.heard_at < _SOURCE_SILENT_S
+
+    async def _fetch_from(self, peer: str) -> None:
         before = self._replica.revision
-        connection = ClientConnection(address)
+        connection = ClientConnection(socket_address(peer))
         try:
             response = await connection.call(
                 'GET', f'{SNAPSHOT_PATH}?{before}', b'', _SNAPSHOT_TIMEOUT_S
