--- a/packages/node/src/hibiscushatch_node/adapters/admin_api.py
+++ b/packages/node/src/hibiscushatch_node/adapters/admin_api.py
@@ -10,14 +10,14 @@
 
 from aiohttp import web
 
-from hibiscushatch_core.settings import NodeSettings
-from hibiscushatch_node.adapters import keys
-from hibiscushatch_node.adapters.metrics import (
+from hibiscushatch_core.metrics import (
     REASON_FAMILIES,
-    Metrics,
     counts_by_reason,
     totals,
 )
+from hibiscushatch_core.settings import NodeSettings
+from hibiscushatch_node.adapters import keys
+from hibiscushatch_node.adapters.metrics import Metrics
 from hibiscushatch_node.entry_vm import EntryVm
 from hibiscushatch_node.loop_lag import LoopLagMeter
 
--- a/packages/node/src/hibiscushatch_node/adapters/metrics.py
+++ b/packages/node/src/hibiscushatch_node/adapters/metrics.py
@@ -1,112 +1,15 @@
-"""Counters and gauges of one entry VM in the Prometheus text format.
+"""The metrics of an entry VM with affinity by buckets."""
 
-The packet path counts into plain numbers; they are copied into aioprometheus
-collectors when somebody asks. Every reason is present from the start, so that
-a missing series never has to be told from a zero.
-"""
-
-import collections
-import dataclasses
-import enum
 from collections.abc import Iterator, Mapping, Sequence
 
-import aioprometheus
-
-from hibiscushatch_core import reasons
 from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.metrics import CounterMetrics, GaugeReading
 from hibiscushatch_core.report import NodeReport
 
-PREFIX = 'hibiscushatch_'
-REASON_LABEL = 'reason'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReasonFamily:
-    """One counter family that is labelled by reason.
-
-    Attributes:
-        name: Field of Counters and part of the metric's name.
-        text: Help text.
-        members: The enumeration of reasons.
-    """
-
-    name: str
-    text: str
-    members: type[enum.StrEnum]
-
-
-REASON_FAMILIES = (
-    ReasonFamily('drops', 'Packets dropped, by reason.', reasons.DropReason),
-    ReasonFamily(
-        'refusals',
-        'Flows refused or reset, by reason.',
-        reasons.RefusalReason,
-    ),
-    ReasonFamily(
-        'retries', 'Attempts made again, by reason.', reasons.RetryReason
-    ),
-)
-_FAMILY_NAMES = frozenset(family.name for family in REASON_FAMILIES)
-TOTAL_NAMES = tuple(
-    field.name
-    for field in dataclasses.fields(Counters)
-    if field.name not in _FAMILY_NAMES
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GaugeReading:
-    """The present value of one gauge."""
 
-    name: str
-    text: str
-    reading: float
-
-
-def counts_by_reason(
-    family: ReasonFamily, counters: Counters
-) -> dict[str, int]:
-    """List the counts of one family, those of zero included.
-
-    Args:
-        family: Which family.
-        counters: The counters of the process.
-
-    Returns:
-        Counts by the value of the reason.
-    """
-    counts: collections.Counter[enum.StrEnum] = getattr(counters, family.name)
-    return {reason.value: counts[reason] for reason in family.members}
-
-
-def totals(counters: Counters) -> dict[str, int]:
-    """List the counters that have no reason, by name."""
-    return {name: getattr(counters, name) for name in TOTAL_NAMES}
-
-
-class Metrics:
+class Metrics(CounterMetrics):
     """The collectors of one entry VM."""
 
-    def __init__(self) -> None:
-        self._registry = aioprometheus.Registry()
-        self._families = {
-            family.name: aioprometheus.Counter(
-                f'{PREFIX}{family.name}_total',
-                family.text,
-                registry=self._registry,
-            )
-            for family in REASON_FAMILIES
-        }
-        self._totals = {
-            name: aioprometheus.Counter(
-                f'{PREFIX}{name}_total',
-                f'Total of {name.replace("_", " ")}.',
-                registry=self._registry,
-            )
-            for name in TOTAL_NAMES
-        }
-        self._gauges: dict[str, aioprometheus.Gauge] = {}
-
     def render(
         self,
         counters: Counters,
@@ -125,24 +28,8 @@
         Returns:
             The body and the headers that describe it.
         """
-        for family in REASON_FAMILIES:
-            collector = self._families[family.name]
-            for reason, count in counts_by_reason(family, counters).items():
-                collector.set({REASON_LABEL: reason}, count)
-        for name, count in totals(counters).items():
-            self._totals[name].set({}, count)
-        for gauge in _read_gauges(report, loop_lag_s):
-            self._gauge(gauge).set({}, gauge.reading)
-        return aioprometheus.render(self._registry, accepted_formats)
-
-    def _gauge(self, gauge: GaugeReading) -> aioprometheus.Gauge:
-        known = self._gauges.get(gauge.name)
-        if known is None:
-            known = aioprometheus.Gauge(
-                f'{PREFIX}{gauge.name}', gauge.text, registry=self._registry
-            )
-            self._gauges[gauge.name] = known
-        return known
+        gauges = _read_gauges(report, loop_lag_s)
+        return self.render_all(counters, gauges, accepted_formats)
 
 
 def _read_gauges(
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/cold_allowance.py
@@ -0,0 +1,81 @@
+"""How many new flows an upstream gets while it is cold.
+
+A cold upstream bears a stated number of new flows a second from all entry VMs
+together. Each entry VM uses an equal part of it, as a token bucket of one
+flow: no burst of several can come from one entry VM, and a random first level
+spreads the flows of parts far below one a second over the fleet.
+"""
+
+import random
+from collections.abc import Callable
+
+from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.model import Upstream
+
+_BUCKET_FLOWS = 1.0
+
+
+class ColdAllowance:
+    """The part of this entry VM in the allowances of cold upstreams.
+
+    Args:
+        registry: Tells which upstreams are cold.
+        routing: Tells the allowance of a service.
+        fleet: Counts the entry VMs; 0 when that is not known.
+        clock: Monotonic seconds.
+        randomness: Draws first levels.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        routing: Routing,
+        fleet: Callable[[], int],
+        clock: Callable[[], float],
+        randomness: random.Random,
+    ) -> None:
+        self._registry = registry
+        self._routing = routing
+        self._fleet = fleet
+        self._clock = clock
+        self._randomness = randomness
+        self._levels: dict[str, tuple[float, float]] = {}
+
+    def permits(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream may get one more flow now."""
+        if not self._is_limited(upstream):
+            return True
+        return self._level(upstream) >= _BUCKET_FLOWS
+
+    def spend(self, upstream: Upstream) -> None:
+        """Count a flow that was placed on an upstream."""
+        if self._is_limited(upstream):
+            level = self._level(upstream) - _BUCKET_FLOWS
+            self._levels[upstream.name] = (level, self._clock())
+
+    def forget(self, upstream: Upstream) -> None:
+        """Begin anew with a process that has just started."""
+        self._levels.pop(upstream.name, None)
+
+    def _is_limited(self, upstream: Upstream) -> bool:
+        # Without a stated allowance the slots alone limit an upstream.
+        stated = self._stated(upstream) > 0
+        return stated and self._registry.is_cold(upstream)
+
+    def _stated(self, upstream: Upstream) -> float:
+        policy = self._routing.config.services.get(upstream.service)
+        return 0 if policy is None else policy.cold_flows_per_s
+
+    def _level(self, upstream: Upstream) -> float:
+        fleet = self._fleet()
+        if not fleet:
+            return 0
+        now = self._clock()
+        known = self._levels.get(upstream.name)
+        if known is None:
+            level = self._randomness.random() * _BUCKET_FLOWS
+        else:
+            earned = (now - known[1]) * self._stated(upstream) / fleet
+            level = min(_BUCKET_FLOWS, known[0] + earned)
+        self._levels[upstream.name] = (level, now)
+        return level
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -5,18 +5,21 @@
 import random
 import signal
 import time
+from collections.abc import Callable, Iterator
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
-from hibiscushatch_token import http1
+from hibiscushatch_token import http1, status
+from hibiscushatch_token.cold_allowance import ColdAllowance
 from hibiscushatch_token.flow_table import FlowTable
 from hibiscushatch_token.forwarder import Forwarder
 from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.partition import PartitionDetector
 from hibiscushatch_token.peer_socket import PeerSocket
 from hibiscushatch_token.placement import Placement
 from hibiscushatch_token.ports import Changes, Documents, PacketCodec, Store
-from hibiscushatch_token.publisher import Address, Publisher
+from hibiscushatch_token.publisher import Publisher
 from hibiscushatch_token.reachability import Reachability
 from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
@@ -29,6 +32,7 @@
 _PAUSE_S = 0.1
 _EXPIRE_S = 5.0
 _START_CHECK_S = 0.01
+METRICS_PATH = b'/metrics'
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -43,6 +47,7 @@
         codec: The format of packets.
         counters: Counts of this process.
         randomness: Breaks ties and spreads probes.
+        fleet: Counts the entry VMs; 0 when that is not known.
     """
 
     def __init__(
@@ -51,20 +56,25 @@
         codec: PacketCodec,
         counters: Counters,
         randomness: random.Random,
+        fleet: Callable[[], int],
     ) -> None:
         clock = time.monotonic
         reachability = Reachability(randomness)
         self.routing = Routing()
-        self.registry = Registry(
-            clock, settings.flow_age_max_s, reachability.forget
+        self.registry = Registry(clock, settings.flow_age_max_s, self._forget)
+        self._reachability = reachability
+        self._allowance = ColdAllowance(
+            self.registry, self.routing, fleet, clock, randomness
         )
         flows = FlowTable()
+        self._flows = flows
         self.placement = Placement(
             settings,
             self.registry,
             self.routing,
             flows,
             reachability,
+            self._allowance,
             clock,
             randomness,
         )
@@ -83,6 +93,23 @@
         )
         self.receiver = UdpReceiver(edge, self.forwarder.handle, counters)
 
+    def upstreams(self) -> Iterator[status.UpstreamStatus]:
+        """Yield the state of each listed upstream."""
+        for upstream in self.registry.listed():
+            yield status.UpstreamStatus(
+                name=upstream.name,
+                service=upstream.service,
+                domain=upstream.domain,
+                draining=upstream.is_draining,
+                cold=self.registry.is_cold(upstream),
+                verdict=self._reachability.verdict(upstream).value,
+                open_flows=self._flows.outstanding(upstream.name),
+            )
+
+    def _forget(self, upstream: Upstream) -> None:
+        self._reachability.forget(upstream)
+        self._allowance.forget(upstream)
+
 
 class ControlSide:
     """What keeps the replica of the store up to date, here and at peers.
@@ -107,6 +134,7 @@
     ) -> None:
         clock = time.monotonic
         control = socket_address(settings.control)
+        self.is_publisher = settings.control in settings.publishers
         udp_socket = open_udp_socket(control)
         peers = PeerSocket(udp_socket, counters)
         self.receiver = UdpReceiver(udp_socket, peers.handle, counters)
@@ -135,13 +163,21 @@
             self.replica,
             counters,
             randomness,
-            settings.control in settings.publishers,
+            self.is_publisher,
             self._changed,
         )
         self.server = http1.Server(
             control, {SNAPSHOT_PATH.encode(): self.publisher.snapshot}
         )
 
+    @property
+    def fleet(self) -> int:
+        """Number of entry VMs as far as it is known; 0 when it is not."""
+        if self.is_publisher:
+            served = self.subscriber.served_by_others()
+            return max(self.subscriber.fleet, self.publisher.served + served)
+        return self.subscriber.fleet
+
     def _changed(self, before: int, changes: Changes) -> None:
         self.publisher.changed(before, changes)
 
@@ -165,10 +201,14 @@
     ) -> None:
         self._settings = settings
         self._store = store
+        self._is_ready = False
         self._is_stopping = False
         counters = Counters()
+        self._counters = counters
         randomness = random.Random(settings.random_seed)  # noqa: S311
-        self._traffic = TrafficSide(settings, codec, counters, randomness)
+        self._traffic = TrafficSide(
+            settings, codec, counters, randomness, self._count_fleet
+        )
         self._control = ControlSide(
             settings, store, documents, self._traffic, counters, randomness
         )
@@ -221,6 +261,7 @@
         while not self._is_informed():
             await asyncio.sleep(_START_CHECK_S)
         self._traffic.receiver.start()
+        self._is_ready = True
         _log.info(
             'ready',
             extra={
@@ -228,6 +269,43 @@
                 'revision': self._control.replica.revision,
             },
         )
+        await self._serve_metrics()
+
+    async def _serve_metrics(self) -> None:
+        # Its import takes as long as twenty packets, so it waits until here.
+        from hibiscushatch_token.metrics import (  # noqa: PLC0415
+            TokenMetrics,
+        )
+
+        metrics = TokenMetrics()
+        self._traffic.forwarder.observe(metrics)
+        await http1.Server(
+            socket_address(self._settings.metrics),
+            {
+                METRICS_PATH: lambda _query: metrics.respond(
+                    self._counters, self._report()
+                ),
+                status.STATUS_PATH: lambda _query: status.respond(
+                    self._report()
+                ),
+            },
+        ).start()
+
+    def _report(self) -> status.Status:
+        replica = self._control.replica
+        return status.Status(
+            vm=self._settings.name,
+            domain=self._settings.domain,
+            ready=self._is_in_rotation(),
+            cut_off=self._partition.is_cut_off,
+            config_version=self._traffic.routing.config.version,
+            store_revision=replica.revision,
+            store_age_s=round(replica.age_s, 3),
+            known_entry_vms=self._count_fleet(),
+            open_flows=self._traffic.forwarder.open_flows,
+            evacuated=sorted(self._traffic.routing.evacuated),
+            upstreams=list(self._traffic.upstreams()),
+        )
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
@@ -243,6 +321,9 @@
                 expired_at = now
                 self._traffic.registry.expire()
 
+    def _count_fleet(self) -> int:
+        return self._control.fleet
+
     def _is_informed(self) -> bool:
         return self._control.replica.revision > 0
 
@@ -254,6 +335,9 @@
         )
 
     def _ready(self, _query: bytes) -> http1.Response:
+        status = _OK if self._is_in_rotation() else _UNAVAILABLE
+        return http1.Response(status, b'')
+
+    def _is_in_rotation(self) -> bool:
         is_out = self._is_stopping or self._partition.is_cut_off
-        is_ready = self._is_informed() and not is_out
-        return http1.Response(_OK if is_ready else _UNAVAILABLE, b'')
+        return self._is_ready and not is_out
--- a/packages/token/src/hibiscushatch_token/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/flow_table.py
@@ -14,6 +14,7 @@
     """One flow.
 
     Attributes:
+        flow: Addresses and ports of both ends.
         upstream: Where its latest opening packet went.
         placed_at: When that was, in monotonic seconds.
         last_at: When its latest packet came.
@@ -23,6 +24,7 @@
     """
 
     __slots__ = (
+        'flow',
         'upstream',
         'placed_at',
         'last_at',
@@ -31,7 +33,8 @@
         'tried',
     )
 
-    def __init__(self, upstream: Upstream, now: float) -> None:
+    def __init__(self, flow: bytes, upstream: Upstream, now: float) -> None:
+        self.flow = flow
         self.upstream = upstream
         self.placed_at = now
         self.last_at = now
@@ -62,7 +65,7 @@
         """Add a flow, or move an unanswered one to another upstream."""
         record = self._flows.get(flow)
         if record is None:
-            record = FlowRecord(upstream, now)
+            record = FlowRecord(flow, upstream, now)
             self._flows[flow] = record
         else:
             self._outstanding[record.upstream.name] -= 1
--- a/packages/token/src/hibiscushatch_token/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/forwarder.py
@@ -14,7 +14,7 @@
 from hibiscushatch_token.knowledge import Registry, Routing
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.placement import Placement
-from hibiscushatch_token.ports import FlowPacket, PacketCodec
+from hibiscushatch_token.ports import FlowObserver, FlowPacket, PacketCodec
 from hibiscushatch_token.reachability import Reachability
 from hibiscushatch_token.settings import TokenNodeSettings
 
@@ -62,6 +62,16 @@
         self._counters = counters
         self._clock = clock
         self._send = send
+        self._observer: FlowObserver | None = None
+
+    @property
+    def open_flows(self) -> int:
+        """Number of flows opened here that are not known to have ended."""
+        return len(self._flows)
+
+    def observe(self, observer: FlowObserver) -> None:
+        """Set who takes the times of flows."""
+        self._observer = observer
 
     def handle(self, datagram: bytes, _sender: str) -> None:
         """Forward one datagram, answer it with a reset, or drop it."""
@@ -116,6 +126,14 @@
             upstream = self._note_packet(packet, record, upstream)
         if upstream is None:
             self._counters.drops[DropReason.UNKNOWN_TOKEN] += 1
+            _log.info(
+                'packet dropped',
+                extra={
+                    'flow': self._codec.describe(packet.flow),
+                    'reason': DropReason.UNKNOWN_TOKEN.value,
+                    'token': packet.token,
+                },
+            )
             return
         self._forward(packet, upstream)
 
@@ -133,8 +151,13 @@
                 # An earlier upstream answered after all.
                 self._flows.place(packet.flow, upstream, record.placed_at)
                 record.last_at = now
-            self._reachability.answered(upstream, now - record.placed_at, now)
+            answer_s = now - record.placed_at
+            self._reachability.answered(upstream, answer_s, now)
+            if self._observer is not None:
+                self._observer.answered(answer_s)
         if packet.is_last:
+            if self._observer is not None:
+                self._observer.ended(now - record.placed_at)
             self._flows.remove(packet.flow)
         # A late answer of another upstream may have changed the token.
         return record.upstream if record.is_answered else upstream
@@ -142,6 +165,14 @@
     def _count_unanswered(self, record: FlowRecord, now: float) -> None:
         if not record.is_overdue:
             record.is_overdue = True
+            _log.info(
+                'flow unanswered',
+                extra={
+                    'flow': self._codec.describe(record.flow),
+                    'upstream': record.upstream.name,
+                    'waited_s': round(now - record.placed_at, 3),
+                },
+            )
             self._reachability.unanswered(record.upstream, now)
 
     def _forward(self, packet: FlowPacket, upstream: Upstream) -> None:
@@ -158,7 +189,7 @@
         _log.info(
             'flow refused',
             extra={
-                'flow': self._codec.describe(packet),
+                'flow': self._codec.describe(packet.flow),
                 'reason': reason.value,
                 'config': self._routing.config.version,
             },
@@ -175,7 +206,7 @@
         _log.info(
             'flow placed',
             extra={
-                'flow': self._codec.describe(packet),
+                'flow': self._codec.describe(packet.flow),
                 'copy': packet.copy,
                 'upstream': upstream.name,
                 'domain': upstream.domain,
--- a/packages/token/src/hibiscushatch_token/knowledge.py
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -100,6 +100,11 @@
         """Names of all listed upstreams."""
         return frozenset(self._listed)
 
+    def listed(self) -> Iterator[Upstream]:
+        """Yield all listed upstreams by name."""
+        for name in sorted(self._listed):
+            yield self._listed[name]
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the listed upstreams of a service, draining ones too."""
         return self._by_service.get(service, [])
@@ -132,14 +137,14 @@
         for name in self.names - present - kept:
             self.apply(name, None, revision)
 
-    def apply(self, name: str, upstream: Upstream | None, revision: int) -> None:
+    def apply(
+        self, name: str, upstream: Upstream | None, revision: int
+    ) -> None:
         """Apply one entry; None removes the upstream."""
         known = self._listed.get(name)
         if upstream is None:
             self._remove(name, known, revision)
             return
-        if known is not None and upstream.incarnation < known.incarnation:
-            return
         if known is None or known.incarnation != upstream.incarnation:
             self._forget(upstream)
         if upstream.cold_s > 0:
@@ -156,9 +161,7 @@
     def expire(self) -> None:
         """Forget tokens of upstreams removed longer ago than flows live."""
         oldest = self._clock() - self._flow_age_max_s
-        expired = {
-            name for name, at in self._removed_at.items() if at < oldest
-        }
+        expired = {name for name, at in self._removed_at.items() if at < oldest}
         for name in expired:
             self._removed_at.pop(name)
             self._cold_until.pop(name, None)
@@ -166,9 +169,7 @@
             if upstream.name in expired:
                 self._by_token.pop(token)
 
-    def _remove(
-        self, name: str, known: Upstream | None, revision: int
-    ) -> None:
+    def _remove(self, name: str, known: Upstream | None, revision: int) -> None:
         if known is None:
             return
         self._listed.pop(name)
--- a/packages/token/src/hibiscushatch_token/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/peer_messages.py
@@ -75,9 +75,7 @@
     return msgspec.json.encode(message)
 
 
-def decode_datagram(
-    datagram: bytes, peer: str
-) -> Subscription | Announcement:
+def decode_datagram(datagram: bytes, peer: str) -> Subscription | Announcement:
     """Decode a datagram.
 
     Raises:
@@ -116,9 +114,7 @@
     return tuple(WatchEvent(one.key, one.value, one.revision) for one in items)
 
 
-def stored_items(
-    items: Iterable[StoredValue], after: int
-) -> list[Item]:
+def stored_items(items: Iterable[StoredValue], after: int) -> list[Item]:
     """Turn stored items into items, with values only of those after."""
     return [
         Item(
--- a/packages/token/src/hibiscushatch_token/peer_socket.py
+++ b/packages/token/src/hibiscushatch_token/peer_socket.py
@@ -23,9 +23,7 @@
         counters: Counts of this process.
     """
 
-    def __init__(
-        self, udp_socket: socket.socket, counters: Counters
-    ) -> None:
+    def __init__(self, udp_socket: socket.socket, counters: Counters) -> None:
         self._socket = udp_socket
         self._counters = counters
         self._subscribed: Callable[[Address], None] | None = None
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 
 from hibiscushatch_core.upstream_health import Verdict
+from hibiscushatch_token.cold_allowance import ColdAllowance
 from hibiscushatch_token.flow_table import FlowTable
 from hibiscushatch_token.knowledge import Registry, Routing
 from hibiscushatch_token.model import Upstream, WeightedService
@@ -27,17 +28,19 @@
         routing: Tells evacuated failure domains.
         flows: Outstanding flows.
         reachability: Which upstreams answer.
+        allowance: What cold upstreams may get.
         clock: Monotonic seconds.
         randomness: Breaks ties.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         settings: TokenNodeSettings,
         registry: Registry,
         routing: Routing,
         flows: FlowTable,
         reachability: Reachability,
+        allowance: ColdAllowance,
         clock: Callable[[], float],
         randomness: random.Random,
     ) -> None:
@@ -46,6 +49,7 @@
         self._routing = routing
         self._flows = flows
         self._reachability = reachability
+        self._allowance = allowance
         self._clock = clock
         self._randomness = randomness
         self._chosen_at: dict[str, float] = {}
@@ -74,6 +78,7 @@
         chosen = self._best(fresh or eligible)
         if chosen is not None:
             self._chosen_at[chosen.name] = self._clock()
+            self._allowance.spend(chosen)
         return chosen
 
     def _draw_service(self, services: tuple[WeightedService, ...]) -> str:
@@ -85,7 +90,8 @@
     def _eligible(self, service: str) -> Iterator[Upstream]:
         evacuated = self._routing.evacuated
         for upstream in self._registry.of_service(service):
-            if not upstream.is_draining and upstream.domain not in evacuated:
+            is_out = upstream.is_draining or upstream.domain in evacuated
+            if not is_out and self._allowance.permits(upstream):
                 yield upstream
 
     def _best(self, candidates: list[Upstream]) -> Upstream | None:
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -56,6 +56,18 @@
         self.is_last = is_last
 
 
+class FlowObserver(abc.ABC):
+    """Takes the times of flows."""
+
+    @abc.abstractmethod
+    def answered(self, seconds: float) -> None:
+        """Count the answer of an upstream to an opening packet."""
+
+    @abc.abstractmethod
+    def ended(self, seconds: float) -> None:
+        """Count a flow that its caller has ended."""
+
+
 class Reset(msgspec.Struct, frozen=True):
     """A reset and the caller's address it is sent to."""
 
@@ -71,8 +83,8 @@
         """Read a caller's packet; None when it is none."""
 
     @abc.abstractmethod
-    def describe(self, packet: FlowPacket) -> str:
-        """Name the flow of a packet in log lines."""
+    def describe(self, flow: bytes) -> str:
+        """Name a flow in log lines."""
 
     @abc.abstractmethod
     def encapsulate(self, packet: FlowPacket, upstream: Upstream) -> bytes:
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -181,9 +181,7 @@
         items = []
         for item in snapshot.items:
             if item.value is not None:
-                items.append(
-                    StoredValue(item.key, item.value, item.revision)
-                )
+                items.append(StoredValue(item.key, item.value, item.revision))
             elif item.key in known:
                 items.append(known[item.key])
         changes = self._replica.merge_listing(
