--- a/packages/token/src/hibiscushatch_token/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/flow_table.py
@@ -20,6 +20,7 @@
         last_at: When its latest packet came.
         is_answered: The caller has gone on after an answer of the upstream.
         is_overdue: The missing answer has been counted as a failure.
+        is_counted: It counts as outstanding.
         tried: Names of upstreams that did not answer.
     """
 
@@ -30,6 +31,7 @@
         'last_at',
         'is_answered',
         'is_overdue',
+        'is_counted',
         'tried',
     )
 
@@ -40,6 +42,7 @@
         self.last_at = now
         self.is_answered = False
         self.is_overdue = False
+        self.is_counted = True
         self.tried: tuple[str, ...] = ()
 
 
@@ -68,7 +71,8 @@
             record = FlowRecord(flow, upstream, now)
             self._flows[flow] = record
         else:
-            self._outstanding[record.upstream.name] -= 1
+            self.settle(record)
+            record.is_counted = True
             record.tried += (record.upstream.name,)
             record.upstream = upstream
             record.placed_at = now
@@ -81,6 +85,12 @@
         """Drop a flow that has ended."""
         record = self._flows.pop(flow, None)
         if record is not None:
+            self.settle(record)
+
+    def settle(self, record: FlowRecord) -> None:
+        """Cease to count a flow as outstanding; its record stays."""
+        if record.is_counted:
+            record.is_counted = False
             self._outstanding[record.upstream.name] -= 1
 
     def unanswered(self, before: float) -> Iterator[FlowRecord]:
--- a/packages/token/src/hibiscushatch_token/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/forwarder.py
@@ -89,6 +89,7 @@
         now = self._clock()
         for record in self._flows.unanswered(now - self._limits.failed_s):
             self._count_unanswered(record, now)
+            self._flows.settle(record)
         self._flows.drop_idle(now - self._limits.idle_s)
 
     def _open(self, packet: FlowPacket) -> None:
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -93,7 +93,7 @@
         placement: How new flows are placed.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time that the fabric takes to notice that the readiness
-            check fails: two checks at two a second, and an answer.
+            check fails: two checks at two a second, and packets under way.
         flow_age_max_s: Oldest flow that has to be carried.
         log_level: Least level of log lines.
         log_lines_per_s: Log lines a second beyond which lines are dropped.
@@ -111,7 +111,7 @@
     store: StoreSettings
     placement: PlacementSettings = PlacementSettings()
     stop_grace_s: _Seconds = 6.0
-    rotation_s: _Seconds = 1.8
+    rotation_s: _Seconds = 1.4
     flow_age_max_s: _Seconds = 60.0
     log_level: str = 'INFO'
     log_lines_per_s: _Count = 200
