Let doubt about an upstream pass, and test the token package

Cause, found by a test: an upstream that missed one answer stayed the last choice until it answered, and got no flow by which it could, as the others of its domain were never as full as its cost. Its doubt now passes after 1 s, and a missing answer that was counted as a failure no longer counts as overdue. Ruled out: probes of suspect upstreams, which are priced and not needed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := packages/core packages/node packages/ops packages/tools
+PACKAGES := packages/core packages/node packages/ops packages/tools \
+	packages/token platform platform/soak
 MANIFESTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
 .PHONY: setup demo test bench bench-packets capacity lint format
@@ -32,10 +33,10 @@
 	$(BIN)/python -m hibiscushatch_tools.capacity
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
-	$(BIN)/flake8 packages
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
+	$(BIN)/flake8 packages platform
 
 format: $(STAMP)
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform
+	$(BIN)/ruff check --fix packages platform
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -125,7 +125,7 @@
             cost += limits.remote_cost
         if self._registry.is_cold(upstream):
             cost += limits.cold_cost
-        if self._reachability.verdict(upstream) is Verdict.SUSPECT:
+        if self._reachability.is_doubtful(upstream, self._clock()):
             cost += limits.unanswered_cost
         return cost
 
@@ -133,6 +133,9 @@
         limits = self._settings.placement
         costs: dict[str, float] = {}
         for record in self._flows.unanswered(now - limits.overdue_s):
+            if record.is_overdue:
+                # It has been counted as a failure already.
+                continue
             name = record.upstream.name
             costs[name] = costs.get(name, 0) + limits.unanswered_cost
         return costs
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -130,10 +130,6 @@
     async def watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; raises HistoryLostError."""
 
-    @abc.abstractmethod
-    async def put_with_ttl(self, key: str, value: bytes, ttl_s: float) -> None:
-        """Write a key that vanishes when its lease ends."""
-
     @abc.abstractmethod
     async def answers(self, timeout_s: float) -> bool:
         """Tell whether the store can be reached over a new connection."""
--- a/packages/token/src/hibiscushatch_token/reachability.py
+++ b/packages/token/src/hibiscushatch_token/reachability.py
@@ -37,6 +37,10 @@
     probe_max_s=1.0,
 )
 
+# How long one missing answer makes an upstream the last choice; a caller
+# repeats its opening packet twice in this time.
+_DOUBT_S = 1.0
+
 _log = logging.getLogger(__name__)
 
 
@@ -51,10 +55,12 @@
         self._randomness = randomness
         self._upstreams: dict[str, UpstreamHealth] = {}
         self._domains: dict[str, UpstreamHealth] = {}
+        self._failed_at: dict[str, float] = {}
 
     def forget(self, upstream: Upstream) -> None:
         """Drop what is known of an earlier process of an upstream."""
         self._upstreams.pop(upstream.name, None)
+        self._failed_at.pop(upstream.name, None)
 
     def verdict(self, upstream: Upstream) -> Verdict:
         """Return the worse verdict of an upstream and its domain."""
@@ -64,6 +70,17 @@
             return Verdict.DEAD
         return own
 
+    def is_doubtful(self, upstream: Upstream, now: float) -> bool:
+        """Tell whether an upstream has failed a moment ago.
+
+        The doubt passes by itself: an upstream that gets no flows would have
+        no way to dispel it.
+        """
+        if self.verdict(upstream) is not Verdict.SUSPECT:
+            return False
+        failed_at = self._failed_at.get(upstream.name, now)
+        return now - failed_at < _DOUBT_S
+
     def may_probe(self, upstream: Upstream, now: float) -> bool:
         """Tell whether a dead upstream is due for a single flow."""
         return all(
@@ -87,6 +104,7 @@
     def unanswered(self, upstream: Upstream, now: float) -> None:
         """Count an opening packet that got no answer."""
         before = self.verdict(upstream)
+        self._failed_at[upstream.name] = now
         self._health(upstream).failed(Failure.UNANSWERED, now)
         self._domain(upstream).failed(Failure.UNANSWERED, now)
         self._log_change(upstream, before)
--- /dev/null
+++ b/packages/token/tests/partition_test.py
@@ -0,0 +1,43 @@
+"""Tests of hibiscushatch_token.partition, in virtual time."""
+
+import asyncio
+
+import token_fixtures as fixtures
+
+from hibiscushatch_token.partition import PartitionDetector
+
+
+async def is_cut_off(has_sign: bool, store_answers: bool) -> bool:
+    """Tell what the detector finds with the two signs as given."""
+    scene = fixtures.stage(fixtures.upstream('b1', 'there'))
+    if has_sign:
+        scene.placement._unreachable_at = scene.clock.now
+    store = fixtures.FakeStore()
+    store.answers_calls = store_answers
+    detector = PartitionDetector(store, scene.placement, scene.clock)
+    task = asyncio.create_task(detector.run())
+    await asyncio.sleep(1)
+    task.cancel()
+    return detector.is_cut_off
+
+
+async def test_only_both_signs_together_mean_a_cut() -> None:
+    assert await is_cut_off(has_sign=True, store_answers=False)
+    assert not await is_cut_off(has_sign=True, store_answers=True)
+    assert not await is_cut_off(has_sign=False, store_answers=False)
+
+
+async def test_a_cut_ends_when_the_store_answers_again() -> None:
+    scene = fixtures.stage(fixtures.upstream('b1', 'there'))
+    scene.placement._unreachable_at = scene.clock.now
+    store = fixtures.FakeStore()
+    store.answers_calls = False
+    detector = PartitionDetector(store, scene.placement, scene.clock)
+    task = asyncio.create_task(detector.run())
+    await asyncio.sleep(1)
+    scene.clock.now += 1
+    assert detector.is_cut_off
+    store.answers_calls = True
+    await asyncio.sleep(1)
+    assert not detector.is_cut_off
+    task.cancel()
--- /dev/null
+++ b/packages/token/tests/publisher_test.py
@@ -0,0 +1,169 @@
+"""Tests of hibiscushatch_token.publisher and subscriber together."""
+
+import token_fixtures as fixtures
+from token_fixtures import change, listing, replica_stage
+
+from hibiscushatch_token import peer_messages
+from hibiscushatch_token.peer_messages import Announcement, Subscription
+from hibiscushatch_token.publisher import Publisher
+from hibiscushatch_token.settings import socket_address
+from hibiscushatch_token.subscriber import Subscriber
+
+NEAR = '127.0.0.1:31'
+FAR = '127.0.0.1:32'
+OTHER = ('127.0.0.1', 33)
+
+
+class PublisherScene:
+    """A publisher with a replica, and what it sent to one subscriber."""
+
+    def __init__(self) -> None:
+        self.scene = replica_stage()
+        self.sent: list[Announcement] = []
+        self.publisher = Publisher(
+            fixtures.settings(control=NEAR, publishers=[NEAR, FAR]),
+            self.scene.replica,
+            self.scene.clock,
+            self._send,
+            lambda: 4,
+        )
+
+    def write(self, key: str, value: str | None, revision: int) -> None:
+        """Merge a change and announce it."""
+        before = self.scene.replica.revision
+        merged = self.scene.replica.merge_changes(
+            before, change(key, value, revision)
+        )
+        self.scene.replica.prove(0)
+        self.publisher.changed(before, merged)
+
+    def _send(self, datagram: bytes, _address: tuple[str, int]) -> None:
+        self.sent.append(peer_messages.decode_datagram(datagram, 'publisher'))
+
+
+class SubscriberScene:
+    """A subscriber with a replica, and whom it subscribed to."""
+
+    def __init__(self, control: str = '127.0.0.1:3') -> None:
+        self.scene = replica_stage()
+        self.subscriber = Subscriber(
+            fixtures.settings(control=control, publishers=[FAR, NEAR]),
+            self.scene.replica,
+            self.scene.clock,
+            lambda _datagram, _address: None,
+            lambda _before, _changes: None,
+        )
+
+    def wanted(self) -> list[str]:
+        """Return the publishers that it subscribes to next."""
+        return self.subscriber._wanted_sources()
+
+
+def heartbeat(
+    control: str, domain: str, revision: int, age_ms: int = 0, fleet: int = 3
+) -> Announcement:
+    """Build an announcement without changes."""
+    return Announcement(
+        'vm', control, domain, revision, age_ms, fleet, fleet, revision
+    )
+
+
+def test_a_change_reaches_a_subscriber_that_has_what_came_before() -> None:
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    for scene in (sender.scene, receiver.scene):
+        scene.replica.merge_listing(listing(5, servers_a='here'))
+    sender.publisher.subscribed(OTHER)
+    sender.write('servers/b', 'there', 6)
+    receiver.subscriber.announced(sender.sent[-1])
+    assert set(receiver.scene.registry.names) == {'a', 'b'}
+    assert receiver.scene.replica.age_s == 0
+
+
+def test_a_lost_announcement_is_made_up_for_by_the_next() -> None:
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    for scene in (sender.scene, receiver.scene):
+        scene.replica.merge_listing(listing(5))
+    sender.publisher.subscribed(OTHER)
+    sender.write('servers/a', 'here', 6)
+    sender.write('servers/b', 'here', 7)
+    receiver.subscriber.announced(sender.sent[-1])
+    assert set(receiver.scene.registry.names) == {'a', 'b'}
+
+
+def test_a_gap_asks_for_a_snapshot_and_proves_nothing() -> None:
+    receiver = SubscriberScene()
+    receiver.scene.replica.merge_listing(listing(5))
+    receiver.scene.clock.now += 1
+    receiver.subscriber.announced(heartbeat(NEAR, 'here', 9))
+    assert receiver.subscriber._wanted.is_set()
+    assert receiver.scene.replica.age_s == 1
+
+
+def test_a_snapshot_brings_only_what_is_missing() -> None:
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    for scene in (sender.scene, receiver.scene):
+        scene.replica.merge_listing(listing(5, servers_a='here'))
+    sender.write('servers/b', 'there', 6)
+    sender.write('servers/a', None, 7)
+    response = sender.publisher.snapshot(b'5')
+    snapshot = peer_messages.decode_snapshot(response.body, 'publisher')
+    assert [one.value for one in snapshot.items] == [b'there']
+    receiver.subscriber._merge(5, response.body, 'publisher')
+    assert set(receiver.scene.registry.names) == {'b'}
+    assert receiver.scene.replica.revision == 7
+
+
+def test_large_changes_are_left_to_a_snapshot() -> None:
+    sender = PublisherScene()
+    sender.scene.replica.merge_listing(listing(5))
+    sender.publisher.subscribed(OTHER)
+    sender.write('op/config', '1' + '0' * 2000, 6)
+    assert sender.sent[-1].items == []
+    assert sender.sent[-1].before == 6
+
+
+def test_a_subscriber_prefers_a_near_publisher_that_is_up_to_date() -> None:
+    receiver = SubscriberScene()
+    receiver.scene.replica.merge_listing(listing(5))
+    assert receiver.wanted() == [FAR, NEAR]
+    receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    assert receiver.wanted() == [FAR]
+    receiver.subscriber.announced(heartbeat(NEAR, 'here', 5))
+    assert receiver.wanted() == [NEAR]
+    receiver.subscriber.announced(heartbeat(NEAR, 'here', 5, age_ms=2500))
+    assert receiver.wanted() == [FAR]
+    receiver.scene.clock.now += 1.3
+    assert receiver.wanted() == [FAR, NEAR]
+
+
+def test_a_publisher_follows_all_others() -> None:
+    receiver = SubscriberScene(control=NEAR)
+    receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    assert receiver.wanted() == [FAR]
+    assert receiver.subscriber.served_by_others() == 3
+
+
+def test_the_fleet_is_counted_once() -> None:
+    sender = PublisherScene()
+    sender.scene.replica.merge_listing(listing(5))
+    sender.publisher.subscribed(OTHER)
+    sender.publisher.subscribed(socket_address(FAR))
+    sender.publisher.announce()
+    assert sender.sent[-1].served == 2
+    assert sender.sent[-1].fleet == 6
+
+
+def test_datagrams_that_make_no_sense_are_errors_with_the_peer() -> None:
+    encoded = peer_messages.encode_datagram(Subscription('vm', NEAR))
+    decoded = peer_messages.decode_datagram(encoded, 'peer')
+    assert decoded == Subscription('vm', NEAR)
+    for datagram in (b'', b'{}', b'\xff', b'{"type":"other"}'):
+        try:
+            peer_messages.decode_datagram(datagram, 'peer-7')
+        except peer_messages.PeerError as error:
+            assert error.peer == 'peer-7'
+        else:
+            raise AssertionError(datagram)
--- /dev/null
+++ b/packages/token/tests/token_fixtures.py
@@ -0,0 +1,329 @@
+"""Fixtures that the tests of the token package share."""
+
+import asyncio
+import dataclasses
+import random
+import struct
+
+from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.cold_allowance import ColdAllowance
+from hibiscushatch_token.flow_table import FlowTable
+from hibiscushatch_token.forwarder import Forwarder
+from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.model import (
+    RoutingConfig,
+    ServicePolicy,
+    Upstream,
+    WeightedService,
+)
+from hibiscushatch_token.placement import Placement
+from hibiscushatch_token.ports import (
+    Changes,
+    Documents,
+    FlowPacket,
+    HistoryLostError,
+    Listing,
+    PacketCodec,
+    Reset,
+    Store,
+)
+from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.replica import StoreReplica
+from hibiscushatch_token.settings import TokenNodeSettings
+
+ENDPOINT = (bytes((198, 18, 0, 1)), 443)
+SEED = 11
+_PACKET = struct.Struct('>4sIBBB')
+OPENING = 1
+LAST = 2
+
+
+class FakeClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        """Return the present time in seconds."""
+        return self.now
+
+
+class FakeCodec(PacketCodec):
+    """Packets of a flow name, token, flags, copy and endpoint index."""
+
+    def parse(self, datagram: bytes) -> FlowPacket | None:
+        """Read a packet."""
+        if len(datagram) < _PACKET.size:
+            return None
+        flow, token, flags, copy, route = _PACKET.unpack_from(datagram)
+        return FlowPacket(
+            datagram,
+            flow,
+            (ENDPOINT[0], ENDPOINT[1] + route),
+            token,
+            bool(flags & OPENING),
+            copy,
+            bool(flags & LAST),
+        )
+
+    def describe(self, flow: bytes) -> str:
+        """Name a flow."""
+        return flow.decode()
+
+    def encapsulate(self, packet: FlowPacket, upstream: Upstream) -> bytes:
+        """Address a packet to an upstream."""
+        return upstream.identity + packet.datagram
+
+    def reset(self, packet: FlowPacket) -> Reset:
+        """Build a reset."""
+        return Reset(b'reset', ('caller', 1))
+
+
+class FakeDocuments(Documents):
+    """Items as 'op/config' with a version, and 'servers/NAME'."""
+
+    def __init__(self) -> None:
+        self.upstreams: dict[bytes, Upstream] = {}
+
+    @property
+    def operator_prefix(self) -> str:
+        """Prefix of operators."""
+        return 'op/'
+
+    @property
+    def registry_prefix(self) -> str:
+        """Prefix of upstreams."""
+        return 'servers/'
+
+    def read_config(self, events: object) -> RoutingConfig | None:
+        """Read a configuration whose value is its version."""
+        newest = None
+        for event in events:
+            if event.key == 'op/config' and event.value is not None:
+                newest = config(int(event.value))
+        return newest
+
+    def evacuations(self, events: object) -> object:
+        """Yield evacuated failure domains."""
+        for event in events:
+            if event.key.startswith('op/evacuate/'):
+                yield event.key[12:], event.value is not None
+
+    def registered(self, events: object) -> object:
+        """Yield upstreams, whose values name domain and state."""
+        for event in events:
+            if event.key.startswith('servers/'):
+                name = event.key[8:]
+                yield name, _read_upstream(name, event.value)
+
+
+class FakeStore(Store):
+    """A store that answers from lists prepared by a test."""
+
+    def __init__(self) -> None:
+        self.answers_calls = True
+        self.listing = Listing((), 1)
+        self.changes: list[Changes | Exception] = []
+        self.calls: list[str] = []
+
+    async def read_prefix(self, prefix: str, allow_stale: bool) -> Listing:
+        """Return the prepared listing."""
+        await asyncio.sleep(0.01)
+        self.calls.append('list')
+        return self.listing
+
+    async def watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+        """Return or raise the next prepared change."""
+        await asyncio.sleep(0.01)
+        self.calls.append(f'watch {revision}')
+        if not self.changes:
+            raise HistoryLostError('watch', 'store', 'no more changes')
+        change = self.changes.pop(0)
+        if isinstance(change, Exception):
+            raise change
+        return change
+
+    async def answers(self, timeout_s: float) -> bool:
+        """Tell what the test set."""
+        return self.answers_calls
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+def _read_upstream(name: str, value: bytes | None) -> Upstream | None:
+    if not value:
+        return None
+    domain, _, state = value.decode().partition(' ')
+    return upstream(name, domain, is_draining=state == 'draining')
+
+
+def upstream(
+    name: str,
+    domain: str = 'here',
+    service: str = 'booking',
+    is_draining: bool = False,
+    cold_s: float = 0,
+    incarnation: int = 1,
+) -> Upstream:
+    """Build an upstream whose token follows from its name."""
+    return Upstream(
+        name,
+        name.encode().rjust(8),
+        sum(name.encode()),
+        service,
+        (name, 80),
+        domain,
+        3,
+        is_draining,
+        cold_s,
+        incarnation,
+    )
+
+
+def config(version: int, cold_flows_per_s: float = 0) -> RoutingConfig:
+    """Build a configuration with one route, to the service booking."""
+    return RoutingConfig(
+        version,
+        {ENDPOINT: (WeightedService('booking', 1),)},
+        {'booking': ServicePolicy(cold_flows_per_s, 2000)},
+    )
+
+
+def settings(**changes: object) -> TokenNodeSettings:
+    """Build settings of an entry VM in the failure domain here."""
+    fields = {
+        'name': 'vm-1',
+        'domain': 'here',
+        'packets': '127.0.0.1:1',
+        'readiness': '127.0.0.1:2',
+        'control': '127.0.0.1:3',
+        'metrics': '127.0.0.1:4',
+        'store': {'address': '127.0.0.1:5'},
+    }
+    import msgspec  # noqa: PLC0415
+
+    return msgspec.convert({**fields, **changes}, TokenNodeSettings)
+
+
+@dataclasses.dataclass
+class Stage:
+    """One entry VM's decisions with a clock and a record of what it sent."""
+
+    clock: FakeClock
+    routing: Routing
+    registry: Registry
+    flows: FlowTable
+    reachability: Reachability
+    placement: Placement
+    forwarder: Forwarder
+    counters: Counters
+    sent: list[tuple[bytes, tuple[str, int]]]
+
+    def send(
+        self, flow: str, token: int = 0, flags: int = 0, copy: int = 0
+    ) -> str:
+        """Hand over a packet and return where it went; empty for nowhere."""
+        before = len(self.sent)
+        datagram = _PACKET.pack(flow.encode(), token, flags, copy, 0)
+        self.forwarder.handle(datagram, 'caller')
+        if len(self.sent) == before:
+            return ''
+        return self.sent[-1][1][0]
+
+    def open(self, flow: str, copy: int = 0) -> str:
+        """Send an opening packet."""
+        return self.send(flow, flags=OPENING, copy=copy)
+
+    def answer(self, flow: str, name: str) -> str:
+        """Send the packet that follows the answer of an upstream."""
+        return self.send(flow, token=upstream(name).token)
+
+
+def stage(*upstreams: Upstream, fleet: int = 1, cold: float = 0) -> Stage:
+    """Build an entry VM's decisions with listed upstreams."""
+    clock = FakeClock()
+    randomness = random.Random(SEED)  # noqa: S311
+    reachability = Reachability(randomness)
+    routing = Routing()
+    routing.apply_config(config(1, cold), 1)
+    registry = Registry(clock, 60, reachability.forget)
+    for one in upstreams:
+        registry.apply(one.name, one, 1)
+    flows = FlowTable()
+    allowance = ColdAllowance(
+        registry, routing, lambda: fleet, clock, randomness
+    )
+    placement = Placement(
+        settings(),
+        registry,
+        routing,
+        flows,
+        reachability,
+        allowance,
+        clock,
+        randomness,
+    )
+    counters = Counters()
+    sent: list[tuple[bytes, tuple[str, int]]] = []
+    forwarder = Forwarder(
+        settings(),
+        FakeCodec(),
+        routing,
+        registry,
+        flows,
+        placement,
+        reachability,
+        counters,
+        clock,
+        lambda datagram, target: sent.append((datagram, target)),
+    )
+    return Stage(
+        clock,
+        routing,
+        registry,
+        flows,
+        reachability,
+        placement,
+        forwarder,
+        counters,
+        sent,
+    )
+
+
+@dataclasses.dataclass
+class ReplicaStage:
+    """A replica with the routes and the registry that it feeds."""
+
+    clock: FakeClock
+    routing: Routing
+    registry: Registry
+    replica: StoreReplica
+
+
+def replica_stage() -> ReplicaStage:
+    """Build a replica with a grace of 2 s after outages of 2.5 s."""
+    clock = FakeClock()
+    routing = Routing()
+    registry = Registry(clock, 60, lambda _upstream: None)
+    replica = StoreReplica(FakeDocuments(), routing, registry, clock, 2, 2.5)
+    return ReplicaStage(clock, routing, registry, replica)
+
+
+def listing(revision: int, **items: str) -> Listing:
+    """Build a listing; names stand for keys, with _ for /."""
+    return Listing(
+        tuple(
+            StoredValue(key.replace('_', '/'), value.encode(), revision)
+            for key, value in items.items()
+        ),
+        revision,
+    )
+
+
+def change(key: str, value: str | None, revision: int) -> Changes:
+    """Build one change."""
+    encoded = None if value is None else value.encode()
+    return Changes((WatchEvent(key, encoded, revision),), revision)
--- a/packages/tools/src/hibiscushatch_tools/run_tests.py
+++ b/packages/tools/src/hibiscushatch_tools/run_tests.py
@@ -43,7 +43,8 @@
         One suite.
     """
     suite = unittest.TestSuite()
-    for folder in sorted(root.glob('packages/*/tests')):
+    folders = [*root.glob('packages/*/tests'), root / 'platform' / 'tests']
+    for folder in sorted(folders):
         sys.path.insert(0, str(folder))
         for path in sorted(folder.glob(TEST_PATTERN)):
             suite.addTests(
