--- a/packages/token/src/hibiscushatch_token/replica.py
+++ b/packages/token/src/hibiscushatch_token/replica.py
@@ -114,7 +114,8 @@
     def prove(self, age_s: float) -> None:
         """Note that the items were the newest so many seconds ago."""
         now = self._clock()
-        if self._revision and self.age_s > self._outage_s:
+        was_outage = self._revision > 0 and self.age_s > self._outage_s
+        if was_outage and age_s <= self._outage_s:
             self._lapses_until = now + self._lapse_grace_s
             _log.info(
                 'up to date again',
--- a/packages/token/tests/replica_test.py
+++ b/packages/token/tests/replica_test.py
@@ -1,5 +1,8 @@
 """Tests of hibiscushatch_token.replica."""
 
+import logging
+import unittest
+
 import hypothesis
 import token_fixtures as fixtures
 from hypothesis import strategies
@@ -68,6 +71,20 @@
     assert names(scene) == {'a', 'c'}
 
 
+def test_old_news_from_a_peer_does_not_end_an_outage() -> None:
+    scene = replica_stage()
+    scene.replica.merge_listing(listing(1, servers_a='here'))
+    scene.replica.prove(0)
+    log = logging.getLogger('hibiscushatch_token.replica')
+    with unittest.TestCase().assertLogs(log) as lines:
+        for _ in range(3):
+            scene.clock.now += 3
+            scene.replica.prove(2.9)
+        scene.replica.prove(0)
+    assert len(lines.records) == 1
+    assert lines.records[0].outage_s == 2.9
+
+
 def test_entries_removed_while_the_store_answers_go_at_once() -> None:
     scene = replica_stage()
     scene.replica.merge_listing(listing(1, servers_a='here'))
