--- /dev/null
+++ b/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
@@ -0,0 +1,112 @@
+"""The command ``hibiscushatch entry-vm``: entry VMs with token affinity."""
+
+import asyncio
+import dataclasses
+from collections.abc import Iterator
+
+import click
+import h11
+import msgspec
+
+from hibiscushatch_core.errors import PeerError
+from hibiscushatch_ops import console, session
+from hibiscushatch_token.http1 import ClientConnection
+from hibiscushatch_token.settings import socket_address
+from hibiscushatch_token.status import STATUS_PATH, Status, UpstreamStatus
+
+_TIMEOUT_S = 3.0
+_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """What the entry VMs told.
+
+    Attributes:
+        entry_vms: Their states, as JSON values.
+        silent: Addresses that did not answer, and why.
+    """
+
+    entry_vms: list[object]
+    silent: dict[str, str]
+
+
+@click.command('entry-vm')
+@click.argument('addresses', nargs=-1, required=True)
+@console.json_option
+@click.pass_obj
+def entry_vm(out: console.Console, addresses: tuple[str, ...]) -> None:
+    """Show the state of entry VMs, by their metrics ADDRESSES."""
+    answers = session.run(_ask_all(addresses))
+    statuses = [one for one in answers.values() if isinstance(one, Status)]
+    silent = {
+        address: str(one)
+        for address, one in answers.items()
+        if isinstance(one, PeerError)
+    }
+    if not statuses:
+        names = ', '.join(silent)
+        raise PeerError('read status', names, '; '.join(silent.values()))
+    found = Found([msgspec.to_builtins(one) for one in statuses], silent)
+    out.show(found, _lines(statuses, silent))
+
+
+async def _ask_all(
+    addresses: tuple[str, ...],
+) -> dict[str, Status | PeerError]:
+    answers = await asyncio.gather(*(_ask(one) for one in addresses))
+    return dict(zip(addresses, answers, strict=True))
+
+
+async def _ask(address: str) -> Status | PeerError:
+    try:
+        connection = ClientConnection(socket_address(address))
+    except ValueError as error:
+        return PeerError('read status', address, str(error))
+    try:
+        response = await connection.call(
+            'GET', STATUS_PATH.decode(), b'', _TIMEOUT_S
+        )
+        if response.status != _OK:
+            reason = f'status {response.status}'
+            return PeerError('read status', address, reason)
+        return msgspec.json.decode(response.body, type=Status)
+    except (OSError, h11.ProtocolError, msgspec.MsgspecError) as error:
+        reason = str(error) or type(error).__name__
+        return PeerError('read status', address, reason)
+    finally:
+        connection.close()
+
+
+def _lines(statuses: list[Status], silent: dict[str, str]) -> Iterator[str]:
+    for status in statuses:
+        yield from _status_lines(status)
+    for address, reason in silent.items():
+        yield f'no answer: {address}: {reason}'
+
+
+def _status_lines(status: Status) -> Iterator[str]:
+    state = 'ready' if status.ready else 'not ready'
+    if status.cut_off:
+        state = 'cut off'
+    yield (
+        f'{status.vm} in {status.domain}: {state}, configuration '
+        f'{status.config_version}, store revision {status.store_revision} '
+        f'{status.store_age_s} s ago, {status.open_flows} flows'
+    )
+    if status.evacuated:
+        yield f'  evacuated: {", ".join(status.evacuated)}'
+    for upstream in status.upstreams:
+        yield _upstream_line(upstream)
+
+
+def _upstream_line(upstream: UpstreamStatus) -> str:
+    marks = [upstream.verdict]
+    if upstream.draining:
+        marks.append('draining')
+    if upstream.cold:
+        marks.append('cold')
+    return (
+        f'  {upstream.name:20} {upstream.service:16} {upstream.domain:16} '
+        f'{upstream.open_flows:5} flows, {", ".join(marks)}'
+    )
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
@@ -222,22 +222,35 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then until callers are elsewhere."""
+        stop = self._handle_signals()
+        await self._listen()
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(one) for one in self._activities()]
+            await stop.wait()
+            await self._leave_rotation()
+            for task in tasks:
+                task.cancel()
+        await self._close()
+
+    def _handle_signals(self) -> asyncio.Event:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        return stop
+
+    async def _listen(self) -> None:
         await self._readiness.start()
         await self._control.server.start()
         self._control.receiver.start()
-        async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(one) for one in self._activities()]
-            await stop.wait()
-            self._is_stopping = True
-            _log.info('stopping', extra={'vm': self._settings.name})
-            await asyncio.sleep(self._settings.rotation_s)
-            for task in tasks:
-                task.cancel()
+
+    async def _leave_rotation(self) -> None:
+        self._is_stopping = True
+        _log.info('stopping', extra={'vm': self._settings.name})
+        await asyncio.sleep(self._settings.rotation_s)
+
+    async def _close(self) -> None:
         self._traffic.receiver.stop()
         self._control.receiver.stop()
         self._control.server.close()
@@ -245,17 +258,14 @@
         await self._store.close()
         _log.info('stopped', extra={'vm': self._settings.name})
 
-    def _activities(self) -> tuple:
-        control = self._control
-        return (
-            control.reader.run(),
-            control.publisher.run(),
-            control.subscriber.run(),
-            control.subscriber.fetch(),
-            self._partition.run(),
-            self._start_forwarding(),
-            self._sweep(),
-        )
+    def _activities(self) -> Iterator[Coroutine[None, None, None]]:
+        yield self._control.reader.run()
+        yield self._control.publisher.run()
+        yield self._control.subscriber.run()
+        yield self._control.subscriber.fetch()
+        yield self._partition.run()
+        yield self._start_forwarding()
+        yield self._sweep()
 
     async def _start_forwarding(self) -> None:
         while not self._is_informed():
--- a/packages/token/src/hibiscushatch_token/http1.py
+++ b/packages/token/src/hibiscushatch_token/http1.py
@@ -81,9 +81,9 @@
     async def _connect(self) -> None:
         if self._writer is not None:
             return
-        self._reader, self._writer = await asyncio.open_connection(
-            *self._address
-        )
+        reader, writer = await asyncio.open_connection(*self._address)
+        self._reader = reader
+        self._writer = writer
         _keep_alive(self._writer.get_extra_info('socket'))
         self._protocol = h11.Connection(h11.CLIENT)
 
@@ -103,24 +103,24 @@
     async def _receive(self) -> Response:
         status = 0
         chunks = []
-        while True:
-            event = await _next_event(self._protocol, self._reader)
+        event = await _next_event(self._protocol, self._reader)
+        while not isinstance(event, h11.EndOfMessage):
             if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                break
             else:
                 raise ConnectionResetError('closed within a response')
-        if (
-            self._protocol.our_state is h11.MUST_CLOSE
-            or self._protocol.their_state is h11.MUST_CLOSE
-        ):
+            event = await _next_event(self._protocol, self._reader)
+        self._end_cycle()
+        return Response(status, b''.join(chunks))
+
+    def _end_cycle(self) -> None:
+        states = (self._protocol.our_state, self._protocol.their_state)
+        if any(state is h11.MUST_CLOSE for state in states):
             self.close()
         else:
             self._protocol.start_next_cycle()
-        return Response(status, b''.join(chunks))
 
 
 class Server:
--- a/packages/token/src/hibiscushatch_token/peer_socket.py
+++ b/packages/token/src/hibiscushatch_token/peer_socket.py
@@ -8,7 +8,6 @@
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.reasons import DropReason
 from hibiscushatch_token import peer_messages
-from hibiscushatch_token.peer_messages import Announcement, Subscription
 from hibiscushatch_token.publisher import Address
 from hibiscushatch_token.settings import socket_address
 
@@ -27,12 +26,14 @@
         self._socket = udp_socket
         self._counters = counters
         self._subscribed: Callable[[Address], None] | None = None
-        self._announced: Callable[[Announcement], None] | None = None
+        self._announced: Callable[[peer_messages.Announcement], None] | None = (
+            None
+        )
 
     def connect(
         self,
         subscribed: Callable[[Address], None],
-        announced: Callable[[Announcement], None],
+        announced: Callable[[peer_messages.Announcement], None],
     ) -> None:
         """Set who takes the messages.
 
@@ -61,7 +62,7 @@
             self._counters.drops[DropReason.TRUNCATED] += 1
             _log.warning('datagram unreadable', extra={'error': str(error)})
             return
-        if isinstance(message, Subscription):
+        if isinstance(message, peer_messages.Subscription):
             self._subscribed(socket_address(message.control))
         else:
             self._announced(message)
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -11,7 +11,6 @@
 
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import http1, peer_messages
-from hibiscushatch_token.peer_messages import Announcement, Snapshot
 from hibiscushatch_token.ports import Changes
 from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
@@ -117,7 +116,7 @@
             query: The revision that the reader has, as decimal digits.
         """
         after = int(query) if query.isdigit() else 0
-        snapshot = Snapshot(
+        snapshot = peer_messages.Snapshot(
             self._replica.revision,
             self._age_ms(),
             peer_messages.stored_items(self._replica.items, after),
@@ -147,7 +146,7 @@
 
     def _encode(self, before: int, items: list[peer_messages.Item]) -> bytes:
         return peer_messages.encode_datagram(
-            Announcement(
+            peer_messages.Announcement(
                 self._settings.name,
                 self._settings.control,
                 self._settings.domain,
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -15,7 +15,6 @@
 from hibiscushatch_core.ports import StoredValue
 from hibiscushatch_token import peer_messages
 from hibiscushatch_token.http1 import ClientConnection
-from hibiscushatch_token.peer_messages import Announcement, Subscription
 from hibiscushatch_token.ports import Changes, Listing
 from hibiscushatch_token.publisher import SendDatagram
 from hibiscushatch_token.replica import StoreReplica
@@ -83,7 +82,7 @@
         }
         self._is_publisher = settings.control in settings.publishers
         self._subscription = peer_messages.encode_datagram(
-            Subscription(settings.name, settings.control)
+            peer_messages.Subscription(settings.name, settings.control)
         )
         self._fleet = 0
         self._wanted = asyncio.Event()
@@ -114,7 +113,7 @@
             self._wanted.clear()
             await self._fetch_from(self._snapshot_from)
 
-    def announced(self, message: Announcement) -> None:
+    def announced(self, message: peer_messages.Announcement) -> None:
         """Take over what a publisher announced."""
         self._fleet = max(self._fleet, message.fleet)
         source = self._sources.get(message.control)
