--- a/packages/core/src/hibiscushatch_core/reasons.py
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -52,5 +52,4 @@
     PEER_CONNECT = 'peer_connect'
     PEER_SILENT = 'peer_silent'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
-    PLATFORM_STALE = 'platform_stale'
     PLATFORM_HISTORY = 'platform_history'
