--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,14 @@
 # Each target sets up what it needs: a venv of its own with pinned packages.
 PYTHON ?= python3
 VENV := .venv
+SOAK_SEEDS ?= 10
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/node packages/ops packages/tools \
 	packages/token platform platform/soak
 MANIFESTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
-.PHONY: setup demo test bench bench-packets capacity lint format
+.PHONY: soak setup demo test bench bench-packets capacity lint format
 
 setup: $(STAMP)
 
@@ -23,6 +24,9 @@
 test: $(STAMP)
 	$(BIN)/python -m hibiscushatch_tools.run_tests
 
+soak: $(STAMP)
+	$(BIN)/python -m hibiscushatch_soak.soak --seeds $(SOAK_SEEDS)
+
 bench: $(STAMP)
 	$(BIN)/python -m hibiscushatch_tools.bench
 
