Serve callers without metrics, and forget upstreams that are gone

Found by reading: a metrics address that can't be bound ended the process; health and order of upstreams that were gone stayed in memory for good; the stop grace was read and not used.

--- a/packages/core/tests/log_format_test.py
+++ b/packages/core/tests/log_format_test.py
@@ -1,6 +1,7 @@
 """Tests of hibiscushatch_core.log_format."""
 
 import logging
+import os
 
 from hibiscushatch_core import log_format
 
@@ -22,3 +23,43 @@
         'level=info logger=hibiscushatch event="peer entry-2 lost" '
         r'peer=entry-2 reason="a \"b\"\nc"'
     )
+
+
+def logged(descriptor: int, lines_per_s: int, count: int) -> None:
+    """Log some lines through a bounded handler."""
+    handler = log_format.BoundedHandler(descriptor, lines_per_s)
+    handler.setFormatter(log_format.KeyValueFormatter())
+    for index in range(count):
+        handler.handle(
+            logging.makeLogRecord({'msg': f'line {index}', 'name': 'test'})
+        )
+
+
+def test_lines_beyond_the_rate_are_dropped_and_counted() -> None:
+    reader, writer = os.pipe()
+    handler = log_format.BoundedHandler(writer, lines_per_s=5)
+    handler.setFormatter(log_format.KeyValueFormatter())
+    for index in range(20):
+        handler.handle(logging.makeLogRecord({'msg': f'line {index}'}))
+    lines = os.read(reader, 65536).decode().splitlines()
+    assert len(lines) < 20
+    handler._allowed = 5
+    handler.handle(logging.makeLogRecord({'msg': 'later'}))
+    later = os.read(reader, 65536).decode()
+    assert f'dropped_lines={20 - len(lines)}' in later
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_does_not_read_holds_up_nobody() -> None:
+    reader, writer = os.pipe()
+    logged(writer, 10**6, 5000)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_ends_nothing() -> None:
+    reader, writer = os.pipe()
+    os.close(reader)
+    logged(writer, 1000, 3)
+    os.close(writer)
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -109,6 +109,7 @@
     def _forget(self, upstream: Upstream) -> None:
         self._reachability.forget(upstream)
         self._allowance.forget(upstream)
+        self.placement.forget(upstream)
 
 
 class ControlSide:
@@ -248,7 +249,8 @@
     async def _leave_rotation(self) -> None:
         self._is_stopping = True
         _log.info('stopping', extra={'vm': self._settings.name})
-        await asyncio.sleep(self._settings.rotation_s)
+        settings = self._settings
+        await asyncio.sleep(min(settings.rotation_s, settings.stop_grace_s / 2))
 
     async def _close(self) -> None:
         self._traffic.receiver.stop()
@@ -289,7 +291,7 @@
 
         metrics = TokenMetrics()
         self._traffic.forwarder.observe(metrics)
-        await http1.Server(
+        server = http1.Server(
             socket_address(self._settings.metrics),
             {
                 METRICS_PATH: lambda _query: metrics.respond(
@@ -299,7 +301,15 @@
                     self._report()
                 ),
             },
-        ).start()
+        )
+        try:
+            await server.start()
+        except OSError as error:
+            # Callers are served without metrics as well.
+            _log.error(
+                'metrics not served',
+                extra={'address': self._settings.metrics, 'error': str(error)},
+            )
 
     def _report(self) -> status.Status:
         replica = self._control.replica
--- a/packages/token/src/hibiscushatch_token/knowledge.py
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -76,8 +76,8 @@
     Args:
         clock: Monotonic seconds.
         flow_age_max_s: How long a removed upstream is still found by token.
-        forget: Called with an upstream whose process is no longer the one
-            that was known by its name.
+        forget: Called with an upstream that is gone, or whose process is
+            no longer the one that was known by its name.
     """
 
     def __init__(
@@ -168,6 +168,7 @@
         for token, upstream in list(self._by_token.items()):
             if upstream.name in expired:
                 self._by_token.pop(token)
+                self._forget(upstream)
 
     def _remove(self, name: str, known: Upstream | None, revision: int) -> None:
         if known is None:
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -60,6 +60,10 @@
         """When last no upstream of a route was known to answer."""
         return self._unreachable_at
 
+    def forget(self, upstream: Upstream) -> None:
+        """Drop what is known of an upstream that is gone or began anew."""
+        self._chosen_at.pop(upstream.name, None)
+
     def choose(
         self, services: tuple[WeightedService, ...], tried: tuple[str, ...]
     ) -> Upstream | None:
--- a/packages/token/tests/forwarder_test.py
+++ b/packages/token/tests/forwarder_test.py
@@ -77,6 +77,20 @@
     assert scene.counters.drops[DropReason.TRUNCATED] == 1
 
 
+def test_nothing_is_kept_of_upstreams_that_are_gone_for_long() -> None:
+    scene = stage(upstream('a1'), upstream('a2'))
+    scene.open('f001')
+    scene.clock.now += 0.2
+    scene.forwarder.sweep()
+    scene.registry.apply('a1', None, 2)
+    scene.registry.apply('a2', None, 2)
+    scene.clock.now += 61
+    scene.registry.expire()
+    assert not scene.reachability._upstreams
+    assert not scene.registry._by_token
+    assert not scene.registry._cold_until
+
+
 def test_a_restart_under_the_same_name_is_judged_anew() -> None:
     scene = stage(upstream('a1'), upstream('a2'))
     for index in range(4):
--- /dev/null
+++ b/packages/token/tests/settings_test.py
@@ -0,0 +1,59 @@
+"""Tests of hibiscushatch_token.settings."""
+
+import json
+import pathlib
+import tempfile
+
+from hibiscushatch_core.errors import InvalidDocumentError
+from hibiscushatch_token.settings import read_settings, socket_address
+
+VALID = {
+    'name': 'vm-1',
+    'domain': 'pos-a',
+    'packets': '10.0.0.1:1',
+    'readiness': '10.0.0.1:2',
+    'control': '10.0.0.1:3',
+    'metrics': '10.0.0.1:4',
+    'store': {'address': '10.0.0.9:5'},
+}
+
+
+def problem_of(document: object) -> str:
+    """Read a document and return what is wrong with it."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'settings.json'
+        path.write_text(json.dumps(document))
+        try:
+            read_settings(str(path))
+        except InvalidDocumentError as error:
+            return str(error)
+    return ''
+
+
+def test_valid_settings_are_read() -> None:
+    assert problem_of(VALID) == ''
+    assert socket_address('10.0.0.1:443') == ('10.0.0.1', 443)
+
+
+def test_each_wrong_field_is_named() -> None:
+    table = (
+        ('packets', {'packets': 'host:1'}),
+        ('publishers', {'publishers': ['nowhere']}),
+        ('stop_grace_s', {'stop_grace_s': 0}),
+        ('rotation_s', {'rotation_s': '2'}),
+        ('unknown', {'unknown': 1}),
+        ('store', {'store': {'address': '10.0.0.9:5', 'fresh_s': -1}}),
+    )
+    for field, change in table:
+        assert field in problem_of({**VALID, **change}), field
+    missing = {key: VALID[key] for key in VALID if key != 'domain'}
+    assert 'domain' in problem_of(missing)
+
+
+def test_a_missing_file_is_an_error_with_its_path() -> None:
+    try:
+        read_settings('/nowhere/settings.json')
+    except InvalidDocumentError as error:
+        assert error.peer == '/nowhere/settings.json'
+    else:
+        raise AssertionError('no error')
