--- a/packages/token/tests/http1_test.py
+++ b/packages/token/tests/http1_test.py
@@ -7,6 +7,10 @@
 from hibiscushatch_tools.testing import real_time
 
 
+# Lets connections notice that their other end is gone.
+CLOSE_S = 0.05
+
+
 def free_address() -> tuple[str, int]:
     """Find a free address on loopback."""
     with socket.socket() as probe:
@@ -32,6 +36,7 @@
     assert missing.status == 404
     client.close()
     server.close()
+    await asyncio.sleep(CLOSE_S)
 
 
 @real_time
@@ -48,6 +53,7 @@
     assert answer.body == b'x'
     client.close()
     server.close()
+    await asyncio.sleep(CLOSE_S)
 
 
 @real_time
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 import struct
 
@@ -32,6 +33,9 @@
 from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings
 
+# Lost stores are what many tests are about; their lines would fill the output.
+logging.getLogger('hibiscushatch_token').addHandler(logging.NullHandler())
+
 ENDPOINT = (bytes((198, 18, 0, 1)), 443)
 SEED = 11
 _PACKET = struct.Struct('>4sIBBB')
