--- a/packages/token/src/hibiscushatch_token/replica.py
+++ b/packages/token/src/hibiscushatch_token/replica.py
@@ -108,6 +108,7 @@
             event
             for event in changes.events
             if event.mod_revision > self._revision
+            and self._is_news(event.key, event.mod_revision)
         ]
         return self._apply(events, max(changes.revision, self._revision))
 
--- a/packages/token/tests/http1_test.py
+++ b/packages/token/tests/http1_test.py
@@ -6,7 +6,6 @@
 from hibiscushatch_token import http1
 from hibiscushatch_tools.testing import real_time
 
-
 # Lets connections notice that their other end is gone.
 CLOSE_S = 0.05
 
--- a/packages/token/tests/replica_test.py
+++ b/packages/token/tests/replica_test.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings, strategies
 from token_fixtures import change, listing, replica_stage
 
-from hibiscushatch_token.ports import Changes
+from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.ports import Changes, Listing
 
 
 def names(scene: fixtures.ReplicaStage) -> set[str]:
@@ -37,6 +38,27 @@
     assert names(scene) == {'a'}
 
 
+def test_a_listing_of_several_pages_may_be_ahead_of_its_revision() -> None:
+    scene = replica_stage()
+    pages = Listing(
+        (
+            StoredValue('servers/a', b'here', 3),
+            StoredValue('servers/b', b'here draining', 7),
+        ),
+        5,
+    )
+    scene.replica.merge_listing(pages)
+    events = (
+        WatchEvent('servers/b', b'here', 6),
+        WatchEvent('servers/b', b'here draining', 7),
+    )
+    news = scene.replica.merge_changes(5, Changes(events, 7))
+    assert news.events == ()
+    assert scene.replica.revision == 7
+    draining = {one.name: one.is_draining for one in scene.registry.listed()}
+    assert draining == {'a': False, 'b': True}
+
+
 def test_a_lower_version_is_never_applied() -> None:
     scene = replica_stage()
     scene.replica.merge_listing(listing(10, op_config='7'))
