--- a/packages/token/src/hibiscushatch_token/knowledge.py
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 from hibiscushatch_token.model import (
     NO_CONFIG,
@@ -117,26 +117,6 @@
         """Tell whether an upstream has just started."""
         return self._clock() < self._cold_until.get(upstream.name, 0)
 
-    def replace_all(
-        self,
-        entries: Iterable[tuple[str, Upstream | None]],
-        kept: frozenset[str],
-        revision: int,
-    ) -> None:
-        """Apply a complete list of entries.
-
-        Args:
-            entries: Name and upstream of each; None when it names none.
-            kept: Names that stay although they are not in the list.
-            revision: The store's revision of the list.
-        """
-        present = set()
-        for name, upstream in entries:
-            present.add(name)
-            self.apply(name, upstream, revision)
-        for name in self.names - present - kept:
-            self.apply(name, None, revision)
-
     def apply(
         self, name: str, upstream: Upstream | None, revision: int
     ) -> None:
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -96,7 +96,7 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All items under a prefix.
+    """All items of the store.
 
     Attributes:
         items: The items, by key.
@@ -108,7 +108,7 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes under a prefix, in order.
+    """Changes, in order.
 
     Attributes:
         events: The changes; none when the wait ended without one.
@@ -123,11 +123,11 @@
     """The platform's store; each method raises PlatformUnavailableError."""
 
     @abc.abstractmethod
-    async def read_prefix(self, prefix: str, allow_stale: bool) -> Listing:
-        """Read all items under a prefix; a stale read is much cheaper."""
+    async def read_all(self) -> Listing:
+        """Read all items."""
 
     @abc.abstractmethod
-    async def watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+    async def watch(self, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; raises HistoryLostError."""
 
     @abc.abstractmethod
@@ -142,11 +142,6 @@
 class Documents(abc.ABC):
     """Keys and documents in the store, read into the product's types."""
 
-    @property
-    @abc.abstractmethod
-    def operator_prefix(self) -> str:
-        """Prefix of what operators write."""
-
     @property
     @abc.abstractmethod
     def registry_prefix(self) -> str:
--- a/packages/token/src/hibiscushatch_token/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/store_reader.py
@@ -83,11 +83,11 @@
         self._counters.platform_calls += 1
         if before and self._has_history:
             changes = await self._store.watch(
-                '', before, self._settings.watch_wait_s
+                before, self._settings.watch_wait_s
             )
             news = self._replica.merge_changes(before, changes)
         else:
-            listing = await self._store.read_prefix('', False)
+            listing = await self._store.read_all()
             news = self._replica.merge_listing(listing)
             self._has_history = True
         self._note_regained()
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -91,11 +91,6 @@
     def __init__(self) -> None:
         self.upstreams: dict[bytes, Upstream] = {}
 
-    @property
-    def operator_prefix(self) -> str:
-        """Prefix of operators."""
-        return 'op/'
-
     @property
     def registry_prefix(self) -> str:
         """Prefix of upstreams."""
@@ -132,13 +127,13 @@
         self.changes: list[Changes | Exception] = []
         self.calls: list[str] = []
 
-    async def read_prefix(self, prefix: str, allow_stale: bool) -> Listing:
+    async def read_all(self) -> Listing:
         """Return the prepared listing."""
         await asyncio.sleep(0.01)
         self.calls.append('list')
         return self.listing
 
-    async def watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+    async def watch(self, revision: int, wait_s: float) -> Changes:
         """Return or raise the next prepared change."""
         await asyncio.sleep(0.01)
         self.calls.append(f'watch {revision}')
