Compute evacuations only when one changed; say once who publishes

Found by reading the whole change again: each change of the registry rebuilt the set of evacuated domains from all items of the store; whether an entry VM is a publisher was worked out in two places; the status 200 stood as a constant in four modules beside the one that answers.

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -33,7 +33,6 @@
 _EXPIRE_S = 5.0
 _START_CHECK_S = 0.01
 METRICS_PATH = b'/metrics'
-_OK = 200
 _UNAVAILABLE = 503
 
 _log = logging.getLogger(__name__)
@@ -135,7 +134,7 @@
     ) -> None:
         clock = time.monotonic
         control = socket_address(settings.control)
-        self.is_publisher = settings.control in settings.publishers
+        self._settings = settings
         udp_socket = open_udp_socket(control)
         peers = PeerSocket(udp_socket, counters)
         self.receiver = UdpReceiver(udp_socket, peers.handle, counters)
@@ -164,7 +163,7 @@
             self.replica,
             counters,
             randomness,
-            self.is_publisher,
+            settings.is_publisher,
             self._changed,
         )
         self.server = http1.Server(
@@ -174,7 +173,7 @@
     @property
     def fleet(self) -> int:
         """Number of entry VMs as far as it is known; 0 when it is not."""
-        if self.is_publisher:
+        if self._settings.is_publisher:
             served = self.subscriber.served_by_others()
             return max(self.subscriber.fleet, self.publisher.served + served)
         return self.subscriber.fleet
@@ -355,7 +354,7 @@
         )
 
     def _ready(self, _query: bytes) -> http1.Response:
-        status = _OK if self._is_in_rotation() else _UNAVAILABLE
+        status = http1.OK if self._is_in_rotation() else _UNAVAILABLE
         return http1.Response(status, b'')
 
     def _is_in_rotation(self) -> bool:
--- a/packages/token/src/hibiscushatch_token/http1.py
+++ b/packages/token/src/hibiscushatch_token/http1.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 
+OK = 200
 _READ_BYTES = 65536
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
--- a/packages/token/src/hibiscushatch_token/metrics.py
+++ b/packages/token/src/hibiscushatch_token/metrics.py
@@ -18,7 +18,6 @@
 _ANSWER_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8)
 # Seconds; the aims of requests lie between 0.1 and 1.
 _FLOW_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
-_OK = 200
 
 
 class TokenMetrics(CounterMetrics, FlowObserver):
@@ -52,7 +51,7 @@
         gauges = _read_gauges(report)
         body, headers = self.render_all(counters, gauges, ())
         content_type = headers['Content-Type'].encode()
-        return http1.Response(_OK, body, content_type)
+        return http1.Response(http1.OK, body, content_type)
 
 
 def _read_gauges(report: Status) -> Iterator[GaugeReading]:
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -23,7 +23,6 @@
 # A datagram of this size is not fragmented on Ethernet.
 _DATAGRAM_BYTES_MAX = 1400
 _RECENT_CHANGES = 8
-_OK = 200
 
 Address = tuple[str, int]
 SendDatagram = Callable[[bytes, Address], None]
@@ -122,7 +121,7 @@
             peer_messages.stored_items(self._replica.items, after),
         )
         return http1.Response(
-            _OK,
+            http1.OK,
             peer_messages.encode_snapshot(snapshot),
             b'application/octet-stream',
         )
--- a/packages/token/src/hibiscushatch_token/replica.py
+++ b/packages/token/src/hibiscushatch_token/replica.py
@@ -176,8 +176,9 @@
             config = None
         if config is not None:
             self._routing.apply_config(config, revision)
-        evacuated = frozenset(self._evacuated_domains())
-        self._routing.set_evacuated(evacuated, revision)
+        if any(self._documents.evacuations(events)):
+            evacuated = frozenset(self._evacuated_domains())
+            self._routing.set_evacuated(evacuated, revision)
 
     def _evacuated_domains(self) -> Iterator[str]:
         events = (
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -117,6 +117,11 @@
     log_lines_per_s: _Count = 200
     random_seed: int | None = None
 
+    @property
+    def is_publisher(self) -> bool:
+        """Whether this entry VM reads the store for others."""
+        return self.control in self.publishers
+
 
 def read_settings(path: str) -> TokenNodeSettings:
     """Read and validate the settings file.
--- a/packages/token/src/hibiscushatch_token/status.py
+++ b/packages/token/src/hibiscushatch_token/status.py
@@ -5,7 +5,6 @@
 from hibiscushatch_token import http1
 
 STATUS_PATH = b'/v1/status'
-_OK = 200
 
 
 class UpstreamStatus(msgspec.Struct, frozen=True):
@@ -63,4 +62,4 @@
 def respond(status: Status) -> http1.Response:
     """Encode a status as the answer to a request."""
     body = msgspec.json.encode(status)
-    return http1.Response(_OK, body, b'application/json')
+    return http1.Response(http1.OK, body, b'application/json')
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -80,7 +80,6 @@
             for one in settings.publishers
             if one != settings.control
         }
-        self._is_publisher = settings.control in settings.publishers
         self._subscription = peer_messages.encode_datagram(
             peer_messages.Subscription(settings.name, settings.control)
         )
@@ -140,7 +139,7 @@
         self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
 
     def _wanted_sources(self) -> list[str]:
-        if self._is_publisher:
+        if self._settings.is_publisher:
             return list(self._sources)
         current = [
             control
