Import the metrics 5 s after readiness

Ruled out: routers that send nothing (packets wait in the socket). Change: status is served at once, metrics answer 503 for the first 5 s.

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine, Iterator
+from typing import TYPE_CHECKING
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
@@ -26,12 +27,17 @@
 from hibiscushatch_token.store_reader import StoreReader
 from hibiscushatch_token.subscriber import SNAPSHOT_PATH, Subscriber
 
+if TYPE_CHECKING:
+    from hibiscushatch_token.metrics import TokenMetrics
+
 _SWEEP_S = 0.1
 # A sweep this much later than planned follows a pause of the process; answers
 # may still wait in the socket then.
 _PAUSE_S = 0.1
 _EXPIRE_S = 5.0
 _START_CHECK_S = 0.01
+# After a loss of power, the callers that waited are served within two seconds.
+_METRICS_AFTER_S = 5.0
 METRICS_PATH = b'/metrics'
 _UNAVAILABLE = 503
 
@@ -219,6 +225,14 @@
             socket_address(settings.readiness),
             {settings.readiness_path.encode(): self._ready},
         )
+        self._metrics: TokenMetrics | None = None
+        self._operators = http1.Server(
+            socket_address(settings.metrics),
+            {
+                METRICS_PATH: self._respond_metrics,
+                status.STATUS_PATH: self._respond_status,
+            },
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then until callers are elsewhere."""
@@ -256,6 +270,7 @@
         self._control.receiver.stop()
         self._control.server.close()
         self._readiness.close()
+        self._operators.close()
         await self._store.close()
         _log.info('stopped', extra={'vm': self._settings.name})
 
@@ -280,35 +295,34 @@
                 'revision': self._control.replica.revision,
             },
         )
-        await self._serve_metrics()
+        await self._serve_operators()
 
-    async def _serve_metrics(self) -> None:
-        # Its import takes as long as twenty packets, so it waits until here.
-        from hibiscushatch_token.metrics import (  # noqa: PLC0415
-            TokenMetrics,
-        )
-
-        metrics = TokenMetrics()
-        self._traffic.forwarder.observe(metrics)
-        server = http1.Server(
-            socket_address(self._settings.metrics),
-            {
-                METRICS_PATH: lambda _query: metrics.respond(
-                    self._counters, self._report()
-                ),
-                status.STATUS_PATH: lambda _query: status.respond(
-                    self._report()
-                ),
-            },
-        )
+    async def _serve_operators(self) -> None:
         try:
-            await server.start()
+            await self._operators.start()
         except OSError as error:
             # Callers are served without metrics as well.
             _log.error(
                 'metrics not served',
                 extra={'address': self._settings.metrics, 'error': str(error)},
             )
+            return
+        await asyncio.sleep(_METRICS_AFTER_S)
+        # This import takes as long as a hundred packets.
+        from hibiscushatch_token.metrics import (  # noqa: PLC0415
+            TokenMetrics,
+        )
+
+        self._metrics = TokenMetrics()
+        self._traffic.forwarder.observe(self._metrics)
+
+    def _respond_metrics(self, _query: bytes) -> http1.Response:
+        if self._metrics is None:
+            return http1.Response(_UNAVAILABLE, b'')
+        return self._metrics.respond(self._counters, self._report())
+
+    def _respond_status(self, _query: bytes) -> http1.Response:
+        return status.respond(self._report())
 
     def _report(self) -> status.Status:
         replica = self._control.replica
