Let late flows wait for room

Ruled out: an order by reserved upstreams (late flows on half of them), worse by calculation for both sites; a queue at a fixed rate, which loses callers with short timeouts. Change: a flow whose copy of the opening packet shows that its aim is missed waits until this entry VM has fewer flows open on the service than its part of the slots, for 0.6 s or half of what its caller has left at most.

--- a/packages/core/src/hibiscushatch_core/counters.py
+++ b/packages/core/src/hibiscushatch_core/counters.py
@@ -22,6 +22,7 @@
         packets_to_upstreams: Datagrams sent to upstreams.
         packets_to_callers: Datagrams sent to callers.
         flows_placed: New flows placed on an upstream.
+        flows_deferred: Late flows that had to wait before they were placed.
         control_bytes_sent: Bytes of peer messages sent.
         control_bytes_received: Bytes of peer messages received.
         platform_calls: Calls made to the platform's service.
@@ -43,6 +44,7 @@
     packets_to_upstreams: int = 0
     packets_to_callers: int = 0
     flows_placed: int = 0
+    flows_deferred: int = 0
     control_bytes_sent: int = 0
     control_bytes_received: int = 0
     platform_calls: int = 0
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -79,6 +79,7 @@
             flows,
             reachability,
             self._allowance,
+            fleet,
             clock,
             randomness,
         )
@@ -357,6 +358,7 @@
             # An answer may have come while this task waited for its turn.
             if self._is_ready and self._traffic.receiver.read_waiting():
                 pause_s = self._traffic.opener.retry_unanswered()
+                self._traffic.opener.place_late()
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/token/src/hibiscushatch_token/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/flow_opener.py
@@ -16,7 +16,8 @@
 from hibiscushatch_core.retry_budget import RetryBudget, RetryBudgetSettings
 from hibiscushatch_token.flow_table import FlowRecord, FlowTable
 from hibiscushatch_token.knowledge import Registry, Routing
-from hibiscushatch_token.model import Upstream
+from hibiscushatch_token.late_flows import LateFlows, is_late
+from hibiscushatch_token.model import Route, Upstream
 from hibiscushatch_token.packet_exit import PacketExit
 from hibiscushatch_token.placement import Placement
 from hibiscushatch_token.ports import FlowPacket, PacketCodec
@@ -77,23 +78,43 @@
         self._clock = clock
         self._budget = RetryBudget(_RETRY_BUDGET, clock())
         self._usual_answer_s = 0.0
+        self._late = LateFlows(clock)
 
     def open(self, packet: FlowPacket) -> None:
         """Place a flow at its opening packet or a copy of it."""
+        if self._late.refresh(packet):
+            return
         now = self._clock()
         record = self._flows.get(packet.flow)
+        if record is not None and record.is_answered:
+            self._exit.forward(packet, record.upstream)
+            return
+        if record is not None and self._came_together(record, now):
+            return
+        route = self._routing.route_of(packet.endpoint)
+        if route is None:
+            self._refuse(packet, RefusalReason.NO_ROUTE)
+            return
+        service = self._placement.draw_service(route)
         if record is None:
             self._budget.flow_opened(now)
-            self._place(packet, (), now)
-        elif record.is_answered:
-            self._exit.forward(packet, record.upstream)
-        elif now - record.last_at >= self._limits.copy_gap_s:
-            # Copies that waited here together tell nothing.
-            record.last_at = now
-            record.is_retried = False
-            self._note_unanswered(record, now)
-            self._counters.retries[RetryReason.CONNECT_UNANSWERED] += 1
-            self._place(packet, (*record.tried, record.upstream.name), now)
+            self._open_first(packet, service, route, now)
+        else:
+            self._open_again(packet, service, record, now)
+
+    def go_on(self, flow: bytes) -> None:
+        """Note that a flow went on, maybe at another entry VM."""
+        self._late.remove(flow)
+
+    def ended(self, flow: bytes) -> None:
+        """Forget a flow that its caller ended."""
+        self._flows.remove(flow)
+        self.place_late()
+
+    def place_late(self) -> None:
+        """Place late flows for which there is room by now."""
+        for late in self._late.take_ready(self._placement.has_room):
+            self._place(late.packet, late.service, (), self._clock())
 
     def answered(self, record: FlowRecord, upstream: Upstream) -> float:
         """Take over that the caller goes on with an upstream.
@@ -142,27 +163,64 @@
         self._flows.drop_idle(self._clock() - self._limits.idle_s)
 
     def _place(
-        self, packet: FlowPacket, tried: tuple[str, ...], now: float
+        self,
+        packet: FlowPacket,
+        service: str,
+        tried: tuple[str, ...],
+        now: float,
     ) -> None:
-        config = self._routing.config
-        services = self._routing.services_of(packet.endpoint)
-        upstream = None
-        reason = RefusalReason.NO_ROUTE
-        if services:
-            upstream = self._placement.choose(services, tried)
-            reason = RefusalReason.NO_UPSTREAM
+        upstream = self._placement.choose(service, tried)
         if upstream is None:
-            self._flows.remove(packet.flow)
-            self._exit.refuse(packet, reason, config.version)
+            self._refuse(packet, RefusalReason.NO_UPSTREAM)
         else:
             self._send(packet, upstream, tried, now)
 
+    def _refuse(self, packet: FlowPacket, reason: RefusalReason) -> None:
+        self._flows.remove(packet.flow)
+        self._exit.refuse(packet, reason, self._routing.config.version)
+
+    def _came_together(self, record: FlowRecord, now: float) -> bool:
+        # Copies that waited here together tell nothing.
+        return now - record.last_at < self._limits.copy_gap_s
+
+    def _open_first(
+        self, packet: FlowPacket, service: str, route: Route, now: float
+    ) -> None:
+        has_room = self._placement.has_room(service)
+        if has_room or not is_late(packet, route):
+            self._place(packet, service, (), now)
+            return
+        self._late.add(packet, service, route)
+        self._counters.flows_deferred += 1
+        _log.info(
+            'flow deferred',
+            extra={
+                'flow': self._codec.describe(packet.flow),
+                'copy': packet.copy,
+                'waiting': len(self._late),
+                'config': self._routing.config.version,
+            },
+        )
+
+    def _open_again(
+        self, packet: FlowPacket, service: str, record: FlowRecord, now: float
+    ) -> None:
+        record.last_at = now
+        record.is_retried = False
+        self._note_unanswered(record, now)
+        self._counters.retries[RetryReason.CONNECT_UNANSWERED] += 1
+        tried = (*record.tried, record.upstream.name)
+        self._place(packet, service, tried, now)
+
     def _place_elsewhere(self, record: FlowRecord, now: float) -> bool:
         if record.is_retried or not self._budget.take(now):
             return False
         tried = (*record.tried, record.upstream.name)
-        services = self._routing.services_of(record.opening.endpoint)
-        upstream = self._placement.choose_other(services, tried)
+        route = self._routing.route_of(record.opening.endpoint)
+        if route is None:
+            return False
+        service = self._placement.draw_service(route)
+        upstream = self._placement.choose_other(service, tried)
         if upstream is None:
             return False
         record.is_retried = True
--- a/packages/token/src/hibiscushatch_token/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/forwarder.py
@@ -71,7 +71,9 @@
     def _go_on(self, packet: FlowPacket) -> None:
         upstream = self._registry.by_token(packet.token)
         record = self._flows.get(packet.flow)
-        if record is not None:
+        if record is None:
+            self._opener.go_on(packet.flow)
+        else:
             upstream = self._note_packet(packet, record, upstream)
         if upstream is None:
             self._exit.drop(packet, DropReason.UNKNOWN_TOKEN)
@@ -93,6 +95,6 @@
         if packet.is_last:
             if self._observer is not None:
                 self._observer.ended(now - record.opened_at)
-            self._flows.remove(packet.flow)
+            self._opener.ended(packet.flow)
         # A late answer of another upstream may have changed the token.
         return record.upstream if record.is_answered else upstream
--- a/packages/token/src/hibiscushatch_token/knowledge.py
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -11,9 +11,9 @@
 from hibiscushatch_token.model import (
     NO_CONFIG,
     Endpoint,
+    Route,
     RoutingConfig,
     Upstream,
-    WeightedService,
 )
 
 _log = logging.getLogger(__name__)
@@ -36,9 +36,9 @@
         """Failure domains that must get no new flows."""
         return self._evacuated
 
-    def services_of(self, endpoint: Endpoint) -> tuple[WeightedService, ...]:
-        """Return the services of an endpoint; none when it has no route."""
-        return self._config.routes.get(endpoint, ())
+    def route_of(self, endpoint: Endpoint) -> Route | None:
+        """Return the route of an endpoint; None when it has none."""
+        return self._config.routes.get(endpoint)
 
     def apply_config(self, config: RoutingConfig, revision: int) -> None:
         """Put a configuration in force unless it is older."""
--- a/packages/token/src/hibiscushatch_token/model.py
+++ b/packages/token/src/hibiscushatch_token/model.py
@@ -46,6 +46,23 @@
     weight: float
 
 
+class Route(msgspec.Struct, frozen=True):
+    """What an endpoint serves.
+
+    Attributes:
+        services: The services that share its new flows.
+        priority: Which flows come first when not all can; 0 is first.
+        aim_s: Within what time its requests should be answered; 0 when that
+            is not stated.
+        timeout_s: When its callers give up; 0 when that is not stated.
+    """
+
+    services: tuple[WeightedService, ...]
+    priority: int = 0
+    aim_s: float = 0
+    timeout_s: float = 0
+
+
 class ServicePolicy(msgspec.Struct, frozen=True):
     """What the configuration says of a service.
 
@@ -64,12 +81,12 @@
 
     Attributes:
         version: Rises with each change.
-        routes: Services of each endpoint that callers use.
+        routes: Routes by the endpoint that callers use.
         services: Policies by name of the service.
     """
 
     version: int
-    routes: dict[Endpoint, tuple[WeightedService, ...]]
+    routes: dict[Endpoint, Route]
     services: dict[str, ServicePolicy]
 
 
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -14,7 +14,7 @@
 from hibiscushatch_token.cold_allowance import ColdAllowance
 from hibiscushatch_token.flow_table import FlowTable
 from hibiscushatch_token.knowledge import Registry, Routing
-from hibiscushatch_token.model import Upstream, WeightedService
+from hibiscushatch_token.model import Route, Upstream
 from hibiscushatch_token.reachability import Reachability
 from hibiscushatch_token.settings import TokenNodeSettings
 
@@ -29,6 +29,7 @@
         flows: Outstanding flows.
         reachability: Which upstreams answer.
         allowance: What cold upstreams may get.
+        fleet: Counts the entry VMs; 0 when that is not known.
         clock: Monotonic seconds.
         randomness: Breaks ties.
     """
@@ -41,6 +42,7 @@
         flows: FlowTable,
         reachability: Reachability,
         allowance: ColdAllowance,
+        fleet: Callable[[], int],
         clock: Callable[[], float],
         randomness: random.Random,
     ) -> None:
@@ -50,6 +52,7 @@
         self._flows = flows
         self._reachability = reachability
         self._allowance = allowance
+        self._fleet = fleet
         self._clock = clock
         self._randomness = randomness
         self._chosen_at: dict[str, float] = {}
@@ -64,42 +67,53 @@
         """Drop what is known of an upstream that is gone or began anew."""
         self._chosen_at.pop(upstream.name, None)
 
-    def choose(
-        self, services: tuple[WeightedService, ...], tried: tuple[str, ...]
-    ) -> Upstream | None:
+    def has_room(self, service: str) -> bool:
+        """Tell whether this entry VM uses less than its part of the slots.
+
+        Where the size of the fleet is not known yet, as after a start, a
+        single flow is its part.
+        """
+        slots = 0
+        outstanding = 0
+        for upstream in self._eligible(service):
+            if self._reachability.verdict(upstream) is not Verdict.DEAD:
+                slots += upstream.slots
+                outstanding += self._flows.outstanding(upstream.name)
+        fleet = self._fleet()
+        part = slots / fleet if fleet else 1
+        return outstanding < max(1, part)
+
+    def choose(self, service: str, tried: tuple[str, ...]) -> Upstream | None:
         """Choose the upstream of a new flow.
 
         Args:
-            services: The services of its route.
+            service: The service that it is for.
             tried: Names of upstreams that did not answer its earlier packets.
 
         Returns:
             The upstream; None when no upstream may get it.
         """
-        eligible = list(self._eligible(self._draw_service(services)))
+        eligible = list(self._eligible(service))
         fresh = [one for one in eligible if one.name not in tried]
         return self._take(
             self._due_probe(fresh) or self._best(fresh or eligible)
         )
 
     def choose_other(
-        self, services: tuple[WeightedService, ...], tried: tuple[str, ...]
+        self, service: str, tried: tuple[str, ...]
     ) -> Upstream | None:
         """Choose another upstream for a flow that has no answer yet.
 
         Args:
-            services: The services of its route; none when it has no route.
+            service: The service that it is for.
             tried: Names of upstreams that did not answer.
 
         Returns:
             The upstream; None when none that answers may get it.
         """
-        if not services:
-            return None
-        eligible = self._eligible(self._draw_service(services))
         alive = [
             one
-            for one in eligible
+            for one in self._eligible(service)
             if one.name not in tried
             and self._reachability.verdict(one) is not Verdict.DEAD
         ]
@@ -111,7 +125,9 @@
             self._allowance.spend(chosen)
         return chosen
 
-    def _draw_service(self, services: tuple[WeightedService, ...]) -> str:
+    def draw_service(self, route: Route) -> str:
+        """Choose the service of a new flow by the weights of its route."""
+        services = route.services
         if len(services) == 1:
             return services[0].service
         weights = [one.weight for one in services]
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -14,7 +14,7 @@
     """The store no longer has the changes that a watch should go on with."""
 
 
-class FlowPacket:
+class FlowPacket(msgspec.Struct):
     """A packet of a caller, as far as an entry VM reads it.
 
     Attributes:
@@ -24,36 +24,18 @@
         token: The affinity token it carries; 0 for none.
         is_opening: It asks for a new flow.
         copy: How many opening packets of the flow the caller sent before.
+        waited_s: How long the caller has waited since the first of them.
         is_last: The caller ends or resets the flow with it.
     """
 
-    __slots__ = (
-        'datagram',
-        'flow',
-        'endpoint',
-        'token',
-        'is_opening',
-        'copy',
-        'is_last',
-    )
-
-    def __init__(
-        self,
-        datagram: bytes,
-        flow: bytes,
-        endpoint: Endpoint,
-        token: int,
-        is_opening: bool,
-        copy: int,
-        is_last: bool,
-    ) -> None:
-        self.datagram = datagram
-        self.flow = flow
-        self.endpoint = endpoint
-        self.token = token
-        self.is_opening = is_opening
-        self.copy = copy
-        self.is_last = is_last
+    datagram: bytes
+    flow: bytes
+    endpoint: Endpoint
+    token: int
+    is_opening: bool
+    copy: int
+    waited_s: float
+    is_last: bool
 
 
 class FlowObserver(abc.ABC):
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -14,6 +14,7 @@
 from hibiscushatch_token.forwarder import Forwarder
 from hibiscushatch_token.knowledge import Registry, Routing
 from hibiscushatch_token.model import (
+    Route,
     RoutingConfig,
     ServicePolicy,
     Upstream,
@@ -71,6 +72,7 @@
             token,
             bool(flags & OPENING),
             copy,
+            (0, 0.2, 0.6)[copy],
             bool(flags & LAST),
         )
 
@@ -188,7 +190,11 @@
     """Build a configuration with one route, to the service booking."""
     return RoutingConfig(
         version,
-        {ENDPOINT: (WeightedService('booking', 1),)},
+        {
+            ENDPOINT: Route(
+                (WeightedService('booking', 1),), aim_s=0.15, timeout_s=2.5
+            )
+        },
         {'booking': ServicePolicy(cold_flows_per_s, 2000)},
     )
 
@@ -275,6 +281,7 @@
         flows,
         reachability,
         allowance,
+        lambda: fleet,
         clock,
         randomness,
     )
