Count no silence after a wait as evidence; play the load of a backlog

Flows that moved to another entry VM counted as open for 3 s, so that nothing had room. Ruled out: slow answers (8 to 10 ms throughout, by a trial that logged them). What is left of the loss are second attempts of callers, which look like new ones.

--- a/packages/token/src/hibiscushatch_token/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/flow_opener.py
@@ -115,6 +115,12 @@
         """Place late flows for which there is room by now."""
         for late in self._late.take_ready(self._placement.has_room):
             self._place(late.packet, late.service, (), self._clock())
+            record = self._flows.get(late.packet.flow)
+            if record is not None:
+                # While it waited, the fabric may have given it to another
+                # entry VM, which then sees the answer.
+                record.is_retried = True
+                record.is_failed = True
 
     def answered(self, record: FlowRecord, upstream: Upstream) -> float:
         """Take over that the caller goes on with an upstream.
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -70,7 +70,7 @@
     doubt_cost: _Fraction = 1.0
     retry_after_s: _Seconds = 0.05
     copy_gap_s: _Seconds = 0.15
-    idle_s: _Seconds = 3.0
+    idle_s: _Seconds = 1.0
 
 
 class TokenNodeSettings(
--- /dev/null
+++ b/packages/token/tests/backlog_test.py
@@ -0,0 +1,155 @@
+"""What callers get of the backlog after all entry VMs were away.
+
+Plays the load against the decisions of real entry VMs: callers that repeat
+their opening packets, a fabric that knows which entry VM a flow belongs to,
+and upstreams that work on as many requests as they have slots and queue the
+rest in order.
+"""
+
+import collections
+import dataclasses
+import functools
+import heapq
+import itertools
+from collections.abc import Callable
+
+from token_fixtures import LAST, FakeClock, Stage, stage, upstream
+
+VMS = 3
+UPSTREAMS = tuple(f'u{index}' for index in range(5))
+WORK_S = 0.04
+SLOTS = 3
+# The share of the slots that the load takes when nothing is wrong.
+USED_SHARE = 0.6
+GAP_S = WORK_S / (len(UPSTREAMS) * SLOTS * USED_SHARE)
+ROUND_TRIP_S = 0.008
+RETURN_S = 1.2
+END_S = 4.0
+OPENING_TIMES_S = (0.0, 0.2, 0.6)
+LOOK_S = 0.05
+# Aim and timeout of the route of the fixtures.
+AIM_S = 0.15
+TIMEOUT_S = 2.5
+
+
+@dataclasses.dataclass
+class Caller:
+    """One caller with one request."""
+
+    flow: str
+    came_at: float
+    vm: Stage
+    upstream: str = ''
+    served_at: float = float('inf')
+
+    @property
+    def waited_s(self) -> float:
+        """How long the caller waited for its answer."""
+        return self.served_at - self.came_at
+
+
+class Load:
+    """Events in order of time."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.started_at = self.clock.now
+        self.vms = [
+            stage(
+                *(upstream(name) for name in UPSTREAMS),
+                fleet=VMS,
+                clock=self.clock,
+            )
+            for _ in range(VMS)
+        ]
+        self.callers: dict[str, Caller] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._busy: collections.Counter[str] = collections.Counter()
+        self._queues: dict[str, collections.deque[Caller]] = {
+            name: collections.deque() for name in UPSTREAMS
+        }
+
+    @property
+    def now(self) -> float:
+        """Seconds since the start."""
+        return self.clock.now - self.started_at
+
+    def after(self, delay_s: float, act: Callable[[], None]) -> None:
+        """Plan an event."""
+        event = (self.clock.now + delay_s, next(self._order), act)
+        heapq.heappush(self._events, event)
+
+    def play(self) -> list[Caller]:
+        """Run until all callers were served or have given up."""
+        for index in range(int(END_S / GAP_S)):
+            caller = Caller(f'{index:04}', index * GAP_S, self.vms[index % VMS])
+            self.callers[caller.flow] = caller
+            for copy, delay_s in enumerate(OPENING_TIMES_S):
+                self.after(
+                    caller.came_at + delay_s,
+                    functools.partial(self._open, caller, copy),
+                )
+        for vm in self.vms:
+            self.after(LOOK_S, functools.partial(self._look, vm))
+        while self._events and self.now < END_S + TIMEOUT_S:
+            happens_at, _, act = heapq.heappop(self._events)
+            self.clock.now = happens_at
+            act()
+        return list(self.callers.values())
+
+    def _open(self, caller: Caller, copy: int) -> None:
+        if self.now >= RETURN_S and not caller.upstream:
+            caller.vm.open(caller.flow, copy)
+            self._take_placed(caller.vm)
+
+    def _look(self, vm: Stage) -> None:
+        vm.opener.retry_unanswered()
+        vm.opener.place_late()
+        self._take_placed(vm)
+        self.after(LOOK_S, functools.partial(self._look, vm))
+
+    def _take_placed(self, vm: Stage) -> None:
+        for datagram, target in vm.sent:
+            # The name of the flow follows on the identity of the upstream.
+            caller = self.callers[datagram[8:12].decode()]
+            if target[0] in UPSTREAMS and not caller.upstream:
+                caller.upstream = target[0]
+                self.after(
+                    ROUND_TRIP_S, functools.partial(self._arrive, caller)
+                )
+        vm.sent.clear()
+
+    def _arrive(self, caller: Caller) -> None:
+        caller.vm.answer(caller.flow, caller.upstream)
+        caller.vm.sent.clear()
+        self._queues[caller.upstream].append(caller)
+        self._work(caller.upstream)
+
+    def _work(self, name: str) -> None:
+        while self._queues[name] and self._busy[name] < SLOTS:
+            self._busy[name] += 1
+            caller = self._queues[name].popleft()
+            self.after(WORK_S, functools.partial(self._serve, caller))
+
+    def _serve(self, caller: Caller) -> None:
+        caller.served_at = self.now
+        self._busy[caller.upstream] -= 1
+        token = upstream(caller.upstream).token
+        caller.vm.send(caller.flow, token, LAST)
+        self._take_placed(caller.vm)
+        self._work(caller.upstream)
+
+
+def test_those_who_come_after_an_interruption_do_not_pay_for_it() -> None:
+    callers = Load().play()
+    later = [one for one in callers if one.came_at >= RETURN_S]
+    in_time = [one for one in later if one.waited_s <= AIM_S]
+    assert len(in_time) >= 0.95 * len(later), (len(in_time), len(later))
+
+
+def test_those_who_waited_are_served_before_they_give_up() -> None:
+    callers = Load().play()
+    reachable_s = RETURN_S - OPENING_TIMES_S[-1]
+    waited = [one for one in callers if reachable_s <= one.came_at < RETURN_S]
+    assert max(one.waited_s for one in waited) < TIMEOUT_S
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -57,6 +57,11 @@
         return self.now
 
 
+def opening(flow: str, copy: int = 0) -> bytes:
+    """Build an opening packet as FakeCodec reads it."""
+    return _PACKET.pack(flow.encode(), 0, OPENING, copy, 0)
+
+
 class FakeCodec(PacketCodec):
     """Packets of a flow name, token, flags, copy and endpoint index."""
 
@@ -255,14 +260,23 @@
         """Send an opening packet."""
         return self.send(flow, flags=OPENING, copy=copy)
 
+    def end(self, flow: str, name: str) -> str:
+        """Send the last packet of a flow."""
+        return self.send(flow, upstream(name).token, LAST)
+
     def answer(self, flow: str, name: str) -> str:
         """Send the packet that follows the answer of an upstream."""
         return self.send(flow, token=upstream(name).token)
 
 
-def stage(*upstreams: Upstream, fleet: int = 1, cold: float = 0) -> Stage:
+def stage(
+    *upstreams: Upstream,
+    fleet: int = 1,
+    cold: float = 0,
+    clock: FakeClock | None = None,
+) -> Stage:
     """Build an entry VM's decisions with listed upstreams."""
-    clock = FakeClock()
+    clock = clock or FakeClock()
     randomness = random.Random(SEED)  # noqa: S311
     reachability = Reachability(randomness)
     routing = Routing()
