Avoid upstreams that answer requests slowly or not at all

Cause: an upstream that turns slow or hangs still accepts flows, and an entry VM that sends it a flow every few seconds has none outstanding there when the next one comes. Ruled out: fewer flows per slot (each of 78 entry VMs sees one flow in 2.5 s). Change: the time from a caller's payload to its next packet is taken for each upstream; four times what is usual for the service makes it the last choice for 3 to 12 s, unless a third of the service is slow, which is load. Upstreams that fail requests quickly are not noticed, as answers are not read.

--- a/packages/ops/tests/entry_vm_command_test.py
+++ b/packages/ops/tests/entry_vm_command_test.py
@@ -24,7 +24,7 @@
     evacuated=['pos-b'],
     upstreams=[
         status.UpstreamStatus(
-            'i-1', 'booking', 'pos-a', False, True, 'usable', 3
+            'i-1', 'booking', 'pos-a', False, True, 'usable', True, 3
         )
     ],
 )
@@ -57,7 +57,7 @@
     text = (await run(address, silent)).stdout
     assert 'vm-1 in pos-a: ready, configuration 7, store revision 40' in text
     assert 'evacuated: pos-b' in text
-    assert '3 flows, usable, cold' in text
+    assert '3 flows, usable, cold, slow' in text
     assert f'no answer: {silent}' in text
     document = json.loads((await run(address, '--json')).stdout)
     assert document['entry_vms'][0]['config_version'] == 7
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -25,6 +25,8 @@
 from hibiscushatch_token.publisher import Publisher
 from hibiscushatch_token.reachability import Reachability
 from hibiscushatch_token.replica import StoreReplica
+from hibiscushatch_token.request_watch import RequestWatch
+from hibiscushatch_token.response_times import ResponseTimes
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 from hibiscushatch_token.store_reader import StoreReader
 from hibiscushatch_token.subscriber import SNAPSHOT_PATH, Subscriber
@@ -67,6 +69,7 @@
         self.routing = Routing()
         self.registry = Registry(clock, settings.flow_age_max_s, self._forget)
         self._reachability = reachability
+        self._times = ResponseTimes(clock)
         self._allowance = ColdAllowance(
             self.registry, self.routing, fleet, clock, randomness
         )
@@ -78,6 +81,7 @@
             self.routing,
             flows,
             reachability,
+            self._times,
             self._allowance,
             fleet,
             clock,
@@ -97,11 +101,13 @@
             counters,
             clock,
         )
+        self.requests = RequestWatch(self._times, clock)
         self.forwarder = Forwarder(
             codec,
             self.registry,
             flows,
             self.opener,
+            self.requests,
             packet_exit,
             counters,
             clock,
@@ -118,11 +124,13 @@
                 draining=upstream.is_draining,
                 cold=self.registry.is_cold(upstream),
                 verdict=self._reachability.verdict(upstream).value,
+                slow=self._times.is_slow(upstream),
                 open_flows=self._flows.outstanding(upstream.name),
             )
 
     def _forget(self, upstream: Upstream) -> None:
         self._reachability.forget(upstream)
+        self._times.forget(upstream)
         self._allowance.forget(upstream)
         self.placement.forget(upstream)
 
@@ -359,6 +367,7 @@
             if self._is_ready and self._traffic.receiver.read_waiting():
                 pause_s = self._traffic.opener.retry_unanswered()
                 self._traffic.opener.place_late()
+                self._traffic.requests.note_overdue()
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/token/src/hibiscushatch_token/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/forwarder.py
@@ -14,6 +14,7 @@
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.packet_exit import PacketExit
 from hibiscushatch_token.ports import FlowObserver, FlowPacket, PacketCodec
+from hibiscushatch_token.request_watch import RequestWatch
 
 
 class Forwarder:
@@ -24,17 +25,19 @@
         registry: Upstreams by token.
         flows: Flows opened here.
         opener: Opens flows.
+        requests: Takes the times of requests.
         packet_exit: Where packets leave.
         counters: Counts of this process.
         clock: Monotonic seconds.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         codec: PacketCodec,
         registry: Registry,
         flows: FlowTable,
         opener: FlowOpener,
+        requests: RequestWatch,
         packet_exit: PacketExit,
         counters: Counters,
         clock: Callable[[], float],
@@ -43,6 +46,7 @@
         self._registry = registry
         self._flows = flows
         self._opener = opener
+        self._requests = requests
         self._exit = packet_exit
         self._counters = counters
         self._clock = clock
@@ -92,6 +96,8 @@
             answer_s = self._opener.answered(record, upstream)
             if self._observer is not None:
                 self._observer.answered(answer_s)
+        if record.is_answered:
+            self._requests.saw(packet, record.upstream)
         if packet.is_last:
             if self._observer is not None:
                 self._observer.ended(now - record.opened_at)
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -16,6 +16,7 @@
 from hibiscushatch_token.knowledge import Registry, Routing
 from hibiscushatch_token.model import Route, Upstream
 from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.response_times import ResponseTimes
 from hibiscushatch_token.settings import TokenNodeSettings
 
 
@@ -27,7 +28,8 @@
         registry: The upstreams.
         routing: Tells evacuated failure domains.
         flows: Outstanding flows.
-        reachability: Which upstreams answer.
+        reachability: Which upstreams accept flows.
+        times: Which upstreams answer slowly.
         allowance: What cold upstreams may get.
         fleet: Counts the entry VMs; 0 when that is not known.
         clock: Monotonic seconds.
@@ -41,6 +43,7 @@
         routing: Routing,
         flows: FlowTable,
         reachability: Reachability,
+        times: ResponseTimes,
         allowance: ColdAllowance,
         fleet: Callable[[], int],
         clock: Callable[[], float],
@@ -51,6 +54,7 @@
         self._routing = routing
         self._flows = flows
         self._reachability = reachability
+        self._times = times
         self._allowance = allowance
         self._fleet = fleet
         self._clock = clock
@@ -162,16 +166,18 @@
         ]
         if candidates and not alive:
             self._unreachable_at = self._clock()
+        usable = alive or candidates
+        slow = self._times.slow_among(usable)
         return min(
-            alive or candidates,
+            usable,
             key=lambda one: (
-                self._cost(one),
+                self._cost(one, one.name in slow),
                 self._chosen_at.get(one.name, 0),
             ),
             default=None,
         )
 
-    def _cost(self, upstream: Upstream) -> float:
+    def _cost(self, upstream: Upstream, is_slow: bool) -> float:
         limits = self._settings.placement
         cost = self._flows.outstanding(upstream.name) / upstream.slots
         if upstream.domain != self._settings.domain:
@@ -180,4 +186,6 @@
             cost += limits.cold_cost
         if self._reachability.is_doubtful(upstream, self._clock()):
             cost += limits.doubt_cost
+        if is_slow:
+            cost += limits.slow_cost
         return cost
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -25,6 +25,7 @@
         is_opening: It asks for a new flow.
         copy: How many opening packets of the flow the caller sent before.
         waited_s: How long the caller has waited since the first of them.
+        has_payload: It carries bytes of the caller.
         is_last: The caller ends or resets the flow with it.
     """
 
@@ -35,6 +36,7 @@
     is_opening: bool
     copy: int
     waited_s: float
+    has_payload: bool
     is_last: bool
 
 
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -56,6 +56,8 @@
         cold_cost: What a cold upstream costs, in flows per slot.
         doubt_cost: What an upstream costs that left an opening packet
             unanswered a moment ago, in flows per slot.
+        slow_cost: What an upstream costs that answers requests slowly, in
+            flows per slot.
         retry_after_s: When an opening packet without an answer is sent to
             another upstream; the longest round trip between caller and
             upstream is 20 ms.
@@ -68,6 +70,7 @@
     remote_cost: _Fraction = 0.7
     cold_cost: _Fraction = 0.5
     doubt_cost: _Fraction = 1.0
+    slow_cost: _Fraction = 3.0
     retry_after_s: _Seconds = 0.05
     copy_gap_s: _Seconds = 0.15
     idle_s: _Seconds = 1.0
--- a/packages/token/src/hibiscushatch_token/status.py
+++ b/packages/token/src/hibiscushatch_token/status.py
@@ -16,7 +16,8 @@
         domain: Its failure domain.
         draining: It gets no new flows.
         cold: It has just started.
-        verdict: Whether it answers from here.
+        verdict: Whether it accepts flows from here.
+        slow: It answered requests from here much more slowly than usual.
         open_flows: Flows that this entry VM has opened on it.
     """
 
@@ -26,6 +27,7 @@
     draining: bool
     cold: bool
     verdict: str
+    slow: bool
     open_flows: int
 
 
--- /dev/null
+++ b/packages/token/tests/response_times_test.py
@@ -0,0 +1,111 @@
+"""Tests of hibiscushatch_token.response_times and request_watch."""
+
+import collections
+
+from token_fixtures import LAST, PAYLOAD, FakeClock, Stage, stage, upstream
+
+from hibiscushatch_token.response_times import ResponseTimes
+
+USUAL_S = 0.05
+SLOW_S = 0.4
+
+
+def warm_times(clock: FakeClock, *names: str) -> ResponseTimes:
+    """Build times with usual requests of each upstream."""
+    times = ResponseTimes(clock)
+    for _ in range(10):
+        for name in names:
+            times.responded(upstream(name), USUAL_S)
+    return times
+
+
+def request(scene: Stage, flow: str, times_s: dict[str, float]) -> str:
+    """Play one request and return the upstream that it went to."""
+    chosen = scene.open(flow)
+    token = upstream(chosen).token
+    scene.clock.now += 0.01
+    scene.send(flow, token, PAYLOAD)
+    scene.clock.now += times_s.get(chosen, USUAL_S)
+    scene.requests.note_overdue()
+    scene.send(flow, token, LAST)
+    return chosen
+
+
+def test_a_slow_upstream_is_avoided_and_tried_again_ever_later() -> None:
+    clock = FakeClock()
+    times = warm_times(clock, 'a1', 'a2', 'a3')
+    slow = upstream('a1')
+    for pause_s in (3, 6, 12, 12):
+        times.responded(slow, SLOW_S)
+        assert times.is_slow(slow)
+        clock.now += pause_s - 0.1
+        assert times.is_slow(slow)
+        clock.now += 0.2
+        assert not times.is_slow(slow)
+    times.responded(slow, SLOW_S)
+    times.responded(slow, USUAL_S)
+    assert not times.is_slow(slow)
+
+
+def test_nothing_is_slow_before_it_is_known_what_is_usual() -> None:
+    times = ResponseTimes(FakeClock())
+    times.responded(upstream('a1'), USUAL_S)
+    times.responded(upstream('a1'), SLOW_S)
+    assert not times.is_slow(upstream('a1'))
+
+
+def test_where_many_are_slow_none_is_avoided() -> None:
+    names = ('a1', 'a2', 'a3')
+    times = warm_times(FakeClock(), *names)
+    upstreams = [upstream(name) for name in names]
+    times.responded(upstreams[0], SLOW_S)
+    assert times.slow_among(upstreams) == {'a1'}
+    times.responded(upstreams[1], SLOW_S)
+    assert times.slow_among(upstreams) == frozenset()
+
+
+def test_a_slow_upstream_hardly_changes_what_is_usual() -> None:
+    times = warm_times(FakeClock(), 'a1', 'a2')
+    for index in range(100):
+        slow = index % 5 == 0
+        times.responded(upstream('a1'), SLOW_S if slow else USUAL_S)
+    assert times.slow_after_s('booking') < SLOW_S
+
+
+def test_callers_are_spared_an_upstream_that_turned_slow() -> None:
+    names = [f'a{index}' for index in range(6)]
+    scene = stage(*(upstream(name) for name in names))
+    for index in range(60):
+        request(scene, f'{index:04}', {})
+    chosen = collections.Counter(
+        request(scene, f's{turn:03}', {'a1': SLOW_S}) for turn in range(120)
+    )
+    # A sixth of them would be 20; once each in 3, 6 and 12 s is allowed.
+    assert chosen['a1'] <= 3, chosen
+
+
+def test_an_upstream_that_hangs_is_noticed_before_it_answers() -> None:
+    names = [f'a{index}' for index in range(6)]
+    scene = stage(*(upstream(name) for name in names))
+    for index in range(60):
+        request(scene, f'{index:04}', {})
+    hanging = scene.open('f001')
+    scene.clock.now += 0.01
+    scene.send('f001', upstream(hanging).token, PAYLOAD)
+    scene.clock.now += SLOW_S
+    scene.requests.note_overdue()
+    assert scene.placement._times.is_slow(upstream(hanging))
+
+
+def test_a_caller_that_pauses_says_nothing_of_the_upstream() -> None:
+    scene = stage(upstream('a1'), upstream('a2'), upstream('a3'))
+    for index in range(60):
+        request(scene, f'{index:04}', {})
+    chosen = scene.open('f001')
+    token = upstream(chosen).token
+    for _ in range(3):
+        scene.clock.now += 5
+        scene.send('f001', token, PAYLOAD)
+        scene.clock.now += USUAL_S
+        scene.send('f001', token)
+    assert not scene.placement._times.is_slow(upstream(chosen))
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -34,6 +34,8 @@
 )
 from hibiscushatch_token.reachability import Reachability
 from hibiscushatch_token.replica import StoreReplica
+from hibiscushatch_token.request_watch import RequestWatch
+from hibiscushatch_token.response_times import ResponseTimes
 from hibiscushatch_token.settings import TokenNodeSettings
 
 # Lost stores are what many tests are about; their lines would fill the output.
@@ -44,6 +46,7 @@
 _PACKET = struct.Struct('>4sIBBB')
 OPENING = 1
 LAST = 2
+PAYLOAD = 4
 
 
 class FakeClock:
@@ -78,6 +81,7 @@
             bool(flags & OPENING),
             copy,
             (0, 0.2, 0.6)[copy],
+            bool(flags & PAYLOAD),
             bool(flags & LAST),
         )
 
@@ -248,6 +252,7 @@
     reachability: Reachability
     placement: Placement
     opener: FlowOpener
+    requests: RequestWatch
     forwarder: Forwarder
     counters: Counters
     sent: list[tuple[bytes, tuple[str, int]]]
@@ -302,6 +307,8 @@
     for one in upstreams:
         registry.apply(one.name, one, 1)
     flows = FlowTable()
+    times = ResponseTimes(clock)
+    requests = RequestWatch(times, clock)
     allowance = ColdAllowance(
         registry, routing, lambda: fleet, clock, randomness
     )
@@ -311,6 +318,7 @@
         routing,
         flows,
         reachability,
+        times,
         allowance,
         lambda: fleet,
         clock,
@@ -337,7 +345,7 @@
         clock,
     )
     forwarder = Forwarder(
-        codec, registry, flows, opener, packet_exit, counters, clock
+        codec, registry, flows, opener, requests, packet_exit, counters, clock
     )
     return Stage(
         clock,
@@ -347,6 +355,7 @@
         reachability,
         placement,
         opener,
+        requests,
         forwarder,
         counters,
         sent,
