--- a/packages/token/src/hibiscushatch_token/late_flows.py
+++ b/packages/token/src/hibiscushatch_token/late_flows.py
@@ -5,8 +5,8 @@
 those that have just come, and upstreams serve what they get in order. If the
 late flows go first, the new ones become late too, for as long as the backlog
 lasts. So a late flow waits until this entry VM has fewer flows open on the
-service than its part of the slots, and at most for a part of the time that its
-caller still has.
+service than its part of the slots, as long as its caller still has time enough
+to be served.
 """
 
 from collections.abc import Callable, Iterator
@@ -21,8 +21,9 @@
 _AIM_LEFT_MIN = 0.25
 # A caller gives up an attempt 0.8 s after its last copy.
 _WAIT_MAX_S = 0.6
-# What a waiting flow may use of the time until its caller gives up.
-_WAIT_SHARE_MAX = 0.5
+# Kept of the time until the caller gives up: a full queue of an upstream takes
+# half of it.
+_RESERVE_S = 0.8
 
 
 class LateFlow(msgspec.Struct):
@@ -57,8 +58,8 @@
 
     def add(self, packet: FlowPacket, service: str, route: Route) -> None:
         """Let a flow wait."""
-        left_s = max(0.0, route.timeout_s - packet.waited_s)
-        wait_s = min(_WAIT_MAX_S, left_s * _WAIT_SHARE_MAX)
+        left_s = route.timeout_s - packet.waited_s
+        wait_s = max(0.0, min(_WAIT_MAX_S, left_s - _RESERVE_S))
         self._waiting[packet.flow] = LateFlow(
             packet, service, route.priority, self._clock() + wait_s
         )
