Choose an upstream in one pass, index upstreams as they change

Cause: opening a flow took 153 us of a core with 10 upstreams of a service, 467 with 40 and 4,340 with 640, as each upstream was asked six questions in three passes; taking over a listing took time that grows with its square: 0.81 s of a core with 3,700 upstreams. At 0.163 of a core and 60 upstreams, a flow held the loop for 4 ms. Ruled out: log lines (off in these figures). Change: verdicts, doubts, slow and cold upstreams are kept as the exceptions that they are; one loop finds the cheapest; an index by service follows each change.

--- a/packages/token/src/hibiscushatch_token/cold_allowance.py
+++ b/packages/token/src/hibiscushatch_token/cold_allowance.py
@@ -41,6 +41,11 @@
         self._randomness = randomness
         self._levels: dict[str, tuple[float, float]] = {}
 
+    def is_stated(self, service: str) -> bool:
+        """Tell whether cold upstreams of a service are limited."""
+        policy = self._routing.config.services.get(service)
+        return policy is not None and policy.cold_flows_per_s > 0
+
     def permits(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may get one more flow now."""
         if not self._is_limited(upstream):
@@ -59,12 +64,8 @@
 
     def _is_limited(self, upstream: Upstream) -> bool:
         # Without a stated allowance the slots alone limit an upstream.
-        stated = self._stated(upstream) > 0
-        return stated and self._registry.is_cold(upstream)
-
-    def _stated(self, upstream: Upstream) -> float:
-        policy = self._routing.config.services.get(upstream.service)
-        return 0 if policy is None else policy.cold_flows_per_s
+        is_stated = self.is_stated(upstream.service)
+        return is_stated and self._registry.is_cold(upstream)
 
     def _level(self, upstream: Upstream) -> float:
         fleet = self._fleet()
@@ -75,7 +76,9 @@
         if known is None:
             level = self._randomness.random() * _BUCKET_FLOWS
         else:
-            earned = (now - known[1]) * self._stated(upstream) / fleet
+            policy = self._routing.config.services[upstream.service]
+            part = policy.cold_flows_per_s / fleet
+            earned = (now - known[1]) * part
             level = min(_BUCKET_FLOWS, known[0] + earned)
         self._levels[upstream.name] = (level, now)
         return level
--- a/packages/token/src/hibiscushatch_token/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/flow_opener.py
@@ -192,8 +192,7 @@
     def _open_first(
         self, packet: FlowPacket, service: str, route: Route, now: float
     ) -> None:
-        has_room = self._placement.has_room(service)
-        if has_room or not is_late(packet, route):
+        if not is_late(packet, route) or self._placement.has_room(service):
             self._place(packet, service, (), now)
             return
         self._late.add(packet, service, route)
--- a/packages/token/src/hibiscushatch_token/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/flow_table.py
@@ -73,7 +73,7 @@
 
     def outstanding(self, name: str) -> int:
         """Return how many flows an upstream has from here."""
-        return self._outstanding[name]
+        return self._outstanding.get(name, 0)
 
     def place(
         self, opening: FlowPacket, upstream: Upstream, now: float
--- a/packages/token/src/hibiscushatch_token/knowledge.py
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from hibiscushatch_token.model import (
     NO_CONFIG,
@@ -90,7 +90,7 @@
         self._flow_age_max_s = flow_age_max_s
         self._forget = forget
         self._listed: dict[str, Upstream] = {}
-        self._by_service: dict[str, list[Upstream]] = {}
+        self._by_service: dict[str, dict[str, Upstream]] = {}
         self._by_token: dict[int, Upstream] = {}
         self._cold_until: dict[str, float] = {}
         self._removed_at: dict[str, float] = {}
@@ -111,9 +111,9 @@
         for name in sorted(self._listed):
             yield self._listed[name]
 
-    def of_service(self, service: str) -> list[Upstream]:
+    def of_service(self, service: str) -> Iterable[Upstream]:
         """Return the listed upstreams of a service, draining ones too."""
-        return self._by_service.get(service, [])
+        return self._by_service.get(service, {}).values()
 
     def by_token(self, token: int) -> Upstream | None:
         """Find the upstream of a flow, also one that was removed lately."""
@@ -123,6 +123,13 @@
         """Tell whether an upstream has just started."""
         return self._clock() < self._cold_until.get(upstream.name, 0)
 
+    def cold_names(self) -> Iterator[str]:
+        """Yield the names of upstreams that have just started."""
+        now = self._clock()
+        for name, until in self._cold_until.items():
+            if now < until:
+                yield name
+
     def apply(
         self, name: str, upstream: Upstream | None, revision: int
     ) -> None:
@@ -139,19 +146,24 @@
         self._listed[name] = upstream
         self._removed_at.pop(name, None)
         self._by_token[upstream.token] = upstream
-        self._index(upstream.service)
         if known is not None and known.service != upstream.service:
-            self._index(known.service)
+            self._by_service[known.service].pop(name)
+        self._by_service.setdefault(upstream.service, {})[name] = upstream
         if known is None or known.is_draining != upstream.is_draining:
             _log_upstream('upstream listed', upstream, revision)
 
     def expire(self) -> None:
         """Forget tokens of upstreams removed longer ago than flows live."""
-        oldest = self._clock() - self._flow_age_max_s
+        now = self._clock()
+        self._cold_until = {
+            name: until
+            for name, until in self._cold_until.items()
+            if until > now
+        }
+        oldest = now - self._flow_age_max_s
         expired = {name for name, at in self._removed_at.items() if at < oldest}
         for name in expired:
             self._removed_at.pop(name)
-            self._cold_until.pop(name, None)
         for token, upstream in list(self._by_token.items()):
             if upstream.name in expired:
                 self._by_token.pop(token)
@@ -162,18 +174,9 @@
             return
         self._listed.pop(name)
         self._removed_at[name] = self._clock()
-        self._index(known.service)
+        self._by_service[known.service].pop(name)
         _log_upstream('upstream removed', known, revision)
 
-    def _index(self, service: str) -> None:
-        self._by_service[service] = list(self._members(service))
-
-    def _members(self, service: str) -> Iterator[Upstream]:
-        for name in sorted(self._listed):
-            upstream = self._listed[name]
-            if upstream.service == service:
-                yield upstream
-
 
 def _log_upstream(event: str, upstream: Upstream, revision: int) -> None:
     _log.info(
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/placement.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from hibiscushatch_core.upstream_health import Verdict
 from hibiscushatch_token.cold_allowance import ColdAllowance
@@ -77,16 +77,21 @@
         Where the size of the fleet is not known yet, as after a start, a
         single flow is its part.
         """
-        slots = 0
-        outstanding = 0
-        for upstream in self._eligible(service):
-            if self._reachability.verdict(upstream) is not Verdict.DEAD:
-                slots += upstream.slots
-                outstanding += self._flows.outstanding(upstream.name)
+        alive = self._alive(self._eligible(service))
+        slots = sum(one.slots for one in alive)
+        outstanding = sum(self._flows.outstanding(one.name) for one in alive)
         fleet = self._fleet()
         part = slots / fleet if fleet else 1
         return outstanding < max(1, part)
 
+    def draw_service(self, route: Route) -> str:
+        """Choose the service of a new flow by the weights of its route."""
+        services = route.services
+        if len(services) == 1:
+            return services[0].service
+        weights = [one.weight for one in services]
+        return self._randomness.choices(services, weights)[0].service
+
     def choose(self, service: str, tried: tuple[str, ...]) -> Upstream | None:
         """Choose the upstream of a new flow.
 
@@ -97,11 +102,16 @@
         Returns:
             The upstream; None when no upstream may get it.
         """
-        eligible = list(self._eligible(service))
-        fresh = [one for one in eligible if one.name not in tried]
-        return self._take(
-            self._due_probe(fresh) or self._best(fresh or eligible)
-        )
+        eligible = self._eligible(service)
+        candidates = _without(eligible, tried) or eligible
+        alive = self._alive(candidates)
+        if candidates and not alive:
+            self._unreachable_at = self._clock()
+            return self._take(self._cheapest(candidates))
+        due = None
+        if len(alive) < len(candidates):
+            due = self._due_probe(candidates)
+        return self._take(due or self._cheapest(alive))
 
     def choose_other(
         self, service: str, tried: tuple[str, ...]
@@ -115,13 +125,71 @@
         Returns:
             The upstream; None when none that answers may get it.
         """
-        alive = [
+        candidates = _without(self._eligible(service), tried)
+        return self._take(self._cheapest(self._alive(candidates)))
+
+    def _eligible(self, service: str) -> list[Upstream]:
+        evacuated = self._routing.evacuated
+        eligible = [
+            one
+            for one in self._registry.of_service(service)
+            if not one.is_draining and one.domain not in evacuated
+        ]
+        if not self._allowance.is_stated(service):
+            return eligible
+        return [one for one in eligible if self._allowance.permits(one)]
+
+    def _alive(self, candidates: list[Upstream]) -> list[Upstream]:
+        if not self._reachability.has_dead:
+            return candidates
+        return [
             one
-            for one in self._eligible(service)
-            if one.name not in tried
-            and self._reachability.verdict(one) is not Verdict.DEAD
+            for one in candidates
+            if self._reachability.verdict(one) is not Verdict.DEAD
         ]
-        return self._take(self._best(alive))
+
+    def _due_probe(self, candidates: list[Upstream]) -> Upstream | None:
+        now = self._clock()
+        for upstream in candidates:
+            is_dead = self._reachability.verdict(upstream) is Verdict.DEAD
+            if is_dead and self._reachability.may_probe(upstream, now):
+                self._reachability.probe_started(upstream, now)
+                return upstream
+        return None
+
+    def _cheapest(self, candidates: list[Upstream]) -> Upstream | None:
+        limits = self._settings.placement
+        domain = self._settings.domain
+        penalties = self._penalties(candidates)
+        cheapest = None
+        least = (float('inf'), 0.0)
+        # Written out: this is most of what opening a flow costs.
+        for upstream in candidates:
+            name = upstream.name
+            cost = self._flows.outstanding(name) / upstream.slots
+            if upstream.domain != domain:
+                cost += limits.remote_cost
+            if penalties:
+                cost += penalties.get(name, 0)
+            rank = (cost, self._chosen_at.get(name, 0))
+            if rank < least:
+                cheapest = upstream
+                least = rank
+        return cheapest
+
+    def _penalties(self, candidates: list[Upstream]) -> dict[str, float]:
+        limits = self._settings.placement
+        now = self._clock()
+        groups = (
+            (self._registry.cold_names(), limits.cold_cost),
+            (self._reachability.doubtful_names(now), limits.doubt_cost),
+            (self._times.slow_among(candidates), limits.slow_cost),
+        )
+        penalties: dict[str, float] = {}
+        for names, cost in groups:
+            for name in names:
+                penalties[name] = penalties.get(name, 0) + cost
+        return penalties
 
     def _take(self, chosen: Upstream | None) -> Upstream | None:
         if chosen is not None:
@@ -129,63 +197,10 @@
             self._allowance.spend(chosen)
         return chosen
 
-    def draw_service(self, route: Route) -> str:
-        """Choose the service of a new flow by the weights of its route."""
-        services = route.services
-        if len(services) == 1:
-            return services[0].service
-        weights = [one.weight for one in services]
-        return self._randomness.choices(services, weights)[0].service
 
-    def _eligible(self, service: str) -> Iterator[Upstream]:
-        evacuated = self._routing.evacuated
-        for upstream in self._registry.of_service(service):
-            is_out = upstream.is_draining or upstream.domain in evacuated
-            if not is_out and self._allowance.permits(upstream):
-                yield upstream
-
-    def _due_probe(self, candidates: list[Upstream]) -> Upstream | None:
-        now = self._clock()
-        due = None
-        has_alive = False
-        for upstream in candidates:
-            if self._reachability.verdict(upstream) is not Verdict.DEAD:
-                has_alive = True
-            elif self._reachability.may_probe(upstream, now):
-                due = upstream
-        if due is None or not has_alive:
-            return None
-        self._reachability.probe_started(due, now)
-        return due
-
-    def _best(self, candidates: list[Upstream]) -> Upstream | None:
-        alive = [
-            one
-            for one in candidates
-            if self._reachability.verdict(one) is not Verdict.DEAD
-        ]
-        if candidates and not alive:
-            self._unreachable_at = self._clock()
-        usable = alive or candidates
-        slow = self._times.slow_among(usable)
-        return min(
-            usable,
-            key=lambda one: (
-                self._cost(one, one.name in slow),
-                self._chosen_at.get(one.name, 0),
-            ),
-            default=None,
-        )
-
-    def _cost(self, upstream: Upstream, is_slow: bool) -> float:
-        limits = self._settings.placement
-        cost = self._flows.outstanding(upstream.name) / upstream.slots
-        if upstream.domain != self._settings.domain:
-            cost += limits.remote_cost
-        if self._registry.is_cold(upstream):
-            cost += limits.cold_cost
-        if self._reachability.is_doubtful(upstream, self._clock()):
-            cost += limits.doubt_cost
-        if is_slow:
-            cost += limits.slow_cost
-        return cost
+def _without(
+    upstreams: list[Upstream], tried: tuple[str, ...]
+) -> list[Upstream]:
+    if not tried:
+        return upstreams
+    return [one for one in upstreams if one.name not in tried]
--- a/packages/token/src/hibiscushatch_token/reachability.py
+++ b/packages/token/src/hibiscushatch_token/reachability.py
@@ -8,6 +8,7 @@
 
 import logging
 import random
+from collections.abc import Iterator
 
 from hibiscushatch_core.upstream_health import (
     Failure,
@@ -56,30 +57,39 @@
         self._upstreams: dict[str, UpstreamHealth] = {}
         self._domains: dict[str, UpstreamHealth] = {}
         self._failed_at: dict[str, float] = {}
+        # The exceptions alone, as placement asks of every upstream.
+        self._verdicts: dict[str, Verdict] = {}
+        self._dead_domains: set[str] = set()
+
+    @property
+    def has_dead(self) -> bool:
+        """Whether any upstream or failure domain is judged dead."""
+        return bool(self._dead_domains) or Verdict.DEAD in (
+            self._verdicts.values()
+        )
 
     def forget(self, upstream: Upstream) -> None:
         """Drop what is known of an earlier process of an upstream."""
         self._upstreams.pop(upstream.name, None)
         self._failed_at.pop(upstream.name, None)
+        self._verdicts.pop(upstream.name, None)
 
     def verdict(self, upstream: Upstream) -> Verdict:
         """Return the worse verdict of an upstream and its domain."""
-        own = self._health(upstream).verdict
-        domain = self._domain(upstream).verdict
-        if Verdict.DEAD in (own, domain):
+        if upstream.domain in self._dead_domains:
             return Verdict.DEAD
-        return own
+        return self._verdicts.get(upstream.name, Verdict.USABLE)
 
-    def is_doubtful(self, upstream: Upstream, now: float) -> bool:
-        """Tell whether an upstream has failed a moment ago.
+    def doubtful_names(self, now: float) -> Iterator[str]:
+        """Yield the upstreams that have failed a moment ago.
 
         The doubt passes by itself: an upstream that gets no flows would have
         no way to dispel it.
         """
-        if self.verdict(upstream) is not Verdict.SUSPECT:
-            return False
-        failed_at = self._failed_at.get(upstream.name, now)
-        return now - failed_at < _DOUBT_S
+        for name, verdict in self._verdicts.items():
+            failed_at = self._failed_at.get(name, now)
+            if verdict is Verdict.SUSPECT and now - failed_at < _DOUBT_S:
+                yield name
 
     def may_probe(self, upstream: Upstream, now: float) -> bool:
         """Tell whether a dead upstream is due for a single flow."""
@@ -96,18 +106,16 @@
 
     def answered(self, upstream: Upstream, answer_s: float, now: float) -> None:
         """Count an answer, so many seconds after the opening packet."""
-        before = self.verdict(upstream)
         self._health(upstream).answered(answer_s, now)
         self._domain(upstream).answered(answer_s, now)
-        self._log_change(upstream, before)
+        self._judge(upstream)
 
     def unanswered(self, upstream: Upstream, now: float) -> None:
         """Count an opening packet that got no answer."""
-        before = self.verdict(upstream)
         self._failed_at[upstream.name] = now
         self._health(upstream).failed(Failure.UNANSWERED, now)
         self._domain(upstream).failed(Failure.UNANSWERED, now)
-        self._log_change(upstream, before)
+        self._judge(upstream)
 
     def _health(self, upstream: Upstream) -> UpstreamHealth:
         health = self._upstreams.get(upstream.name)
@@ -123,7 +131,17 @@
             self._domains[upstream.domain] = health
         return health
 
-    def _log_change(self, upstream: Upstream, before: Verdict) -> None:
+    def _judge(self, upstream: Upstream) -> None:
+        before = self.verdict(upstream)
+        own = self._health(upstream).verdict
+        if own is Verdict.USABLE:
+            self._verdicts.pop(upstream.name, None)
+        else:
+            self._verdicts[upstream.name] = own
+        if self._domain(upstream).verdict is Verdict.DEAD:
+            self._dead_domains.add(upstream.domain)
+        else:
+            self._dead_domains.discard(upstream.domain)
         after = self.verdict(upstream)
         if after is not before:
             _log.info(
--- a/packages/token/src/hibiscushatch_token/response_times.py
+++ b/packages/token/src/hibiscushatch_token/response_times.py
@@ -116,6 +116,8 @@
         Args:
             upstreams: The upstreams that may get a flow.
         """
+        if not self._avoided:
+            return frozenset()
         slow = frozenset(one.name for one in upstreams if self.is_slow(one))
         is_load = len(slow) > len(upstreams) * _SLOW_SHARE_MAX
         return frozenset() if is_load else slow
