--- a/packages/core/src/hibiscushatch_core/upstream_health.py
+++ b/packages/core/src/hibiscushatch_core/upstream_health.py
@@ -6,8 +6,7 @@
 answer between them make the upstream suspect and then dead; a dead one is
 probed with single flows, the later the oftener it died of late. A single
 attempt without an answer may be a lost packet and cuts no credit.
-What its health endpoint reports is a hint: it speeds up a verdict that the
-packets support and never makes one.
+Health endpoints are not asked: they lag and mislead.
 """
 
 import enum
@@ -55,7 +54,6 @@
         slow_factor: Handshakes this much longer than usual are slow.
         slow_floor_s: Handshakes shorter than this are never slow.
         cold_signs: Slow or refused handshakes in a row that look cold.
-        hint_fresh_s: Time for which a hint counts.
     """
 
     credit_floor: float = 0.1
@@ -72,7 +70,6 @@
     slow_factor: float = 4.0
     slow_floor_s: float = 0.02
     cold_signs: int = 3
-    hint_fresh_s: float = 10.0
 
 
 DEFAULT_SETTINGS = HealthSettings()
@@ -99,7 +96,6 @@
         self._usual_handshake_s: float | None = None
         self._deaths = _DecayingCount(settings.damping_half_life_s)
         self._probes = _ProbeTimer(settings)
-        self._hint_until: float | None = None
 
     @property
     def verdict(self) -> Verdict:
@@ -116,11 +112,6 @@
         """Whether the latest handshakes are like those of a cold one."""
         return self._cold_signs >= self._settings.cold_signs
 
-    @property
-    def usual_handshake_s(self) -> float | None:
-        """Moving average of handshake times that were not slow."""
-        return self._usual_handshake_s
-
     def answered(self, handshake_s: float, now: float) -> None:
         """Count a handshake that the upstream answered.
 
@@ -134,9 +125,8 @@
         self._probes.hasten()
         if self._answers >= self._settings.answers_to_return:
             self._verdict = Verdict.USABLE
-        if not self._is_hinted(now):
-            step = self._settings.credit_step
-            self._credit = min(1.0, self._credit + step)
+        step = self._settings.credit_step
+        self._credit = min(1.0, self._credit + step)
 
     def failed(self, failure: Failure, now: float) -> None:
         """Count an attempt that failed.
@@ -155,10 +145,6 @@
             self._cut_credit(now)
         self._judge_failures(now)
 
-    def hint_unhealthy(self, now: float) -> None:
-        """Note that its endpoint reports bad health or full load."""
-        self._hint_until = now + self._settings.hint_fresh_s
-
     def cold_noted(self) -> None:
         """Start to count signs of a cold upstream anew."""
         self._cold_signs = 0
@@ -204,7 +190,7 @@
         if self._verdict is Verdict.DEAD:
             return
         settings = self._settings
-        failures = self._failures + int(self._is_hinted(now))
+        failures = self._failures
         lasted_s = now - self._failing_since
         is_long = lasted_s >= settings.dead_after_s
         if failures >= settings.dead_failures and is_long:
@@ -215,9 +201,6 @@
         elif failures >= settings.suspect_failures:
             self._verdict = Verdict.SUSPECT
 
-    def _is_hinted(self, now: float) -> bool:
-        return self._hint_until is not None and now < self._hint_until
-
 
 class _DecayingCount:
     """A count of events that halves in a fixed time."""
--- a/packages/node/src/hibiscushatch_node/bucket_table.py
+++ b/packages/node/src/hibiscushatch_node/bucket_table.py
@@ -16,7 +16,6 @@
         self._states: dict[str, list[BucketState]] = {}
         self._layouts: dict[str, Layout] = {}
         self._digests: dict[str, int] = {}
-        self._referenced: dict[str, int] = {}
         self._in_motion: dict[str, set[int]] = {}
 
     @property
@@ -51,8 +50,6 @@
         self._states[service] = layout.states()
         self._digests[service] = layout.digest
         self._in_motion[service] = set()
-        for state in self._states[service]:
-            self._count_references(state, 1)
 
     def layout(self, service: str) -> Layout:
         """Return the assignment that a service began with."""
@@ -79,8 +76,7 @@
 
     def remove_service(self, service: str) -> None:
         """Drop the buckets of a service that left the manifest."""
-        for state in self._states.pop(service, ()):
-            self._count_references(state, -1)
+        self._states.pop(service, None)
         self._digests.pop(service, None)
         self._layouts.pop(service, None)
         self._in_motion.pop(service, None)
@@ -99,8 +95,6 @@
         self._states[service][index] = state
         self._digests[service] ^= _digest_state(service, index, old)
         self._digests[service] ^= _digest_state(service, index, state)
-        self._count_references(old, -1)
-        self._count_references(state, 1)
         if state.through_owner:
             self._in_motion[service].add(index)
         else:
@@ -134,16 +128,6 @@
             if state.stamp.version:
                 yield index, state
 
-    def is_referenced(self, upstream: str) -> bool:
-        """Tell whether flows without an entry may be on an upstream."""
-        return self._referenced.get(upstream, 0) > 0
-
-    def _count_references(self, state: BucketState, step: int) -> None:
-        referenced = frozenset((*state.bases, state.current))
-        for upstream in referenced:
-            count = self._referenced.get(upstream, 0) + step
-            self._referenced[upstream] = count
-
 
 def _digest_state(service: str, index: int, state: BucketState) -> int:
     if not state.stamp.version:
--- a/packages/tools/src/hibiscushatch_tools/admin_client.py
+++ b/packages/tools/src/hibiscushatch_tools/admin_client.py
@@ -72,14 +72,6 @@
             },
         )
 
-    async def flow_placement(
-        self, settings: NodeSettings, service: str
-    ) -> list[str]:
-        """List the upstream of each bucket's flows, for buckets at rest."""
-        path = admin_api.BUCKETS_PATH.format(service=service)
-        buckets = await self._get(settings, path)
-        return [bucket['bases'][0] for bucket in buckets]
-
     async def wait_ready(self, fleet: Iterable[NodeSettings]) -> None:
         """Wait until all entry VMs of a fleet want packets."""
         for settings in fleet:
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -1,190 +1,350 @@
-"""Measures all slopes again and rewrites the tables of docs/CAPACITY.md."""
+"""Measures how the cost of an entry VM grows, and writes docs/CAPACITY.md.
 
-import dataclasses
-import json
-import os
+Every figure is taken from the real decisions of the entry VM with token
+affinity, without sockets. Figures at the size to design for lie on straight
+lines through at least four measurements.
+"""
+
+import gc
+import logging
 import pathlib
-import resource
+import time
+import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
-from concurrent.futures import Executor, Future, ProcessPoolExecutor
-
-import click
-
-from hibiscushatch_tools import (
-    capacity_change,
-    capacity_claims,
-    capacity_control,
-    capacity_manifest,
-    capacity_memory,
-    capacity_page,
-    capacity_platform,
-    capacity_processor,
-    capacity_roles,
-)
-from hibiscushatch_tools.capacity_model import DESIGN, KIB, LIMITS, Slope
+
+from hibiscushatch_core.ports import WatchEvent
+from hibiscushatch_token import peer_messages
+from hibiscushatch_token.ports import Changes
+from hibiscushatch_token.publisher import HEARTBEAT_S, Publisher
+from hibiscushatch_tools import capacity_page
+from hibiscushatch_tools.capacity_fit import Point
+from hibiscushatch_tools.capacity_model import DESIGN, LIMITS, Slope, Verdict
+from hibiscushatch_tools.capacity_node import CapacityNode, listing
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
-RAW_FIGURES = pathlib.Path('build/capacity.json')
-WORKERS = 6
-PROCESSORS = os.cpu_count() or 1
+REPEATS = 5
+FLOWS = 2000
+US_PER_S = 1e6
+MS_PER_S = 1000.0
+UPSTREAM_SIZES = (10, 40, 160, 640)
+FLOW_SIZES = (500, 1000, 2000, 4000)
+ITEM_SIZES = (500, 1000, 2000, 3700)
+SUBSCRIBER_SIZES = (4, 16, 64, 160)
+# A flow is in the table for as long as a request takes, and one second more.
+TABLE_S = 1.2
+SWEEP_S = 0.1
+PUBLISHERS = 3
+
+
+def main() -> None:
+    """Measure everything and rewrite the tables of the page."""
+    logging.disable()
+    slopes = tuple(measure_slopes())
+    verdicts = tuple(judge({one.key: one.at_target for one in slopes}))
+    blocks = {
+        'roles': capacity_page.render_verdicts(verdicts),
+        'failures': capacity_page.render_failures(verdicts),
+        'slopes': capacity_page.render_slopes(slopes),
+    }
+    page = capacity_page.replace_blocks(PAGE.read_text(), blocks)
+    PAGE.write_text(page)
+
+
+def measure_slopes() -> Iterator[Slope]:
+    """Yield what was measured, against the sizes that it grows with."""
+    yield from _packet_slopes()
+    yield from _state_slopes()
+    yield from _publisher_slopes()
+
+
+def _packet_slopes() -> Iterator[Slope]:
+    yield Slope(
+        'open',
+        'processor time to open a flow, us',
+        'upstreams of the service',
+        'hibiscushatch_token.placement',
+        _points(UPSTREAM_SIZES, _opening_us),
+        DESIGN.upstreams / DESIGN.services,
+    )
+    yield Slope(
+        'carry',
+        'processor time of a later packet, us',
+        'flows in the table',
+        'hibiscushatch_token.forwarder',
+        _points(FLOW_SIZES, _carrying_us),
+        DESIGN.new_flows_a_vm_s * TABLE_S,
+    )
+    yield Slope(
+        'sweep',
+        'processor time of a sweep of the table, us',
+        'flows in the table',
+        'hibiscushatch_token.flow_table',
+        _points(FLOW_SIZES, _sweep_us),
+        DESIGN.new_flows_a_vm_s * TABLE_S,
+    )
 
 
-def measure_all(pool: Executor) -> capacity_roles.Measured:
-    """Run all measurements.
+def _state_slopes() -> Iterator[Slope]:
+    yield Slope(
+        'listing',
+        'processor time to take over a listing, ms',
+        'upstreams',
+        'hibiscushatch_token.replica',
+        _points(ITEM_SIZES, _listing_ms),
+        DESIGN.upstreams,
+    )
+    yield Slope(
+        'change',
+        'processor time to take over one changed entry, us',
+        'upstreams',
+        'hibiscushatch_token.knowledge',
+        _points(ITEM_SIZES, _change_us),
+        DESIGN.upstreams,
+    )
+    yield Slope(
+        'state',
+        'bytes of replica and registry',
+        'upstreams',
+        'hibiscushatch_token.replica',
+        _points(ITEM_SIZES, _state_bytes),
+        DESIGN.upstreams,
+    )
+    yield Slope(
+        'snapshot',
+        'bytes of a snapshot for an entry VM that starts from a peer',
+        'upstreams',
+        'hibiscushatch_token.publisher',
+        _points(ITEM_SIZES, _snapshot_bytes),
+        DESIGN.upstreams,
+    )
+
+
+def _publisher_slopes() -> Iterator[Slope]:
+    yield Slope(
+        'heartbeat_bytes',
+        'bytes that a publisher sends in a second',
+        'subscribers',
+        'hibiscushatch_token.publisher',
+        _points(SUBSCRIBER_SIZES, _heartbeat_bytes_s),
+        DESIGN.entry_vms / PUBLISHERS,
+    )
+    yield Slope(
+        'heartbeat_us',
+        'processor time of the heartbeats of a second, sockets not counted, us',
+        'subscribers',
+        'hibiscushatch_token.publisher',
+        _points(SUBSCRIBER_SIZES, _heartbeat_us_s),
+        DESIGN.entry_vms / PUBLISHERS,
+    )
+
+
+def judge(at_target: dict[str, float]) -> Iterator[Verdict]:
+    """Compare figures at the size to design for with their limits.
 
     Args:
-        pool: Runs several at once, each in a process of its own.
+        at_target: Figures by the key of their slope.
 
-    Returns:
-        What was measured.
+    Yields:
+        A line of the page for each.
     """
-    process_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
-    change = _submit(
-        pool, capacity_change.measure_change, capacity_change.FLEET_SIZES
-    )
-    fleets = _submit(
-        pool, capacity_control.measure_fleet, capacity_control.SHAPES
-    )
-    slopes = [
-        pool.submit(_list_slopes, one)
-        for one in (
-            _standing_slopes,
-            capacity_control.replacement_slopes,
-            _platform_slopes,
-            capacity_memory.measure_memory,
-            _claims_slopes,
-            _manifest_slopes,
-            capacity_processor.processor_slopes,
-        )
-    ]
-    costs = [one.result() for one in fleets]
-    changes = [one.result() for one in change]
-    found = [slope for one in slopes for slope in one.result()]
-    found.extend(capacity_control.rest_slopes(costs))
-    found.extend(capacity_change.change_slopes(changes))
-    return capacity_roles.Measured(
-        {one.key: one for one in found}, costs, process_bytes
+    vm = 'entry VM'
+    publisher = 'publisher'
+    flows_ms_s = at_target['open'] * DESIGN.new_flows_a_vm_s / MS_PER_S
+    sweeps_ms_s = at_target['sweep'] / SWEEP_S / MS_PER_S
+    yield Verdict(
+        vm,
+        'processor time to open its new flows (packets, not control)',
+        flows_ms_s,
+        'ms/s',
+        'hibiscushatch_token.flow_opener',
+    )
+    yield Verdict(
+        vm,
+        'processor time of sweeps of the flow table',
+        sweeps_ms_s,
+        'ms/s',
+        'hibiscushatch_token.flow_table',
+        LIMITS.core_ms_s,
+    )
+    yield Verdict(
+        vm,
+        'replacements of upstreams, mean processor time',
+        at_target['change'] / US_PER_S / DESIGN.replacement_interval_s,
+        'ms/s',
+        'hibiscushatch_token.knowledge',
+        LIMITS.core_ms_s,
+    )
+    yield Verdict(
+        vm,
+        'loop held when it takes over a whole listing',
+        at_target['listing'] / MS_PER_S,
+        's',
+        'hibiscushatch_token.replica',
+        1,
+    )
+    yield Verdict(
+        vm,
+        'state: replica and registry',
+        at_target['state'],
+        'B',
+        'hibiscushatch_token.replica',
+        LIMITS.memory_bytes,
+    )
+    yield Verdict(
+        publisher,
+        'heartbeats and announcements at rest, bytes sent',
+        at_target['heartbeat_bytes'],
+        'B/s',
+        'hibiscushatch_token.publisher',
+        LIMITS.control_bytes_s,
+        '55 subscribers, 165 entry VMs',
+        'relays: a publisher tells one entry VM of each domain, which tells '
+        'the others of its domain',
+    )
+    yield Verdict(
+        publisher,
+        'processor time of heartbeats, sockets not counted',
+        at_target['heartbeat_us'] / MS_PER_S,
+        'ms/s',
+        'hibiscushatch_token.publisher',
+        LIMITS.core_ms_s,
+    )
+    yield Verdict(
+        publisher,
+        'snapshots for a rack of 40 that starts while the store is away',
+        at_target['snapshot'] * DESIGN.rack_vms / PUBLISHERS,
+        'B',
+        'hibiscushatch_token.publisher',
     )
 
 
-def _submit(
-    pool: Executor,
-    measure: Callable[..., object],
-    sizes: Sequence[object],
-) -> list[Future]:
-    return [pool.submit(measure, one) for one in reversed(sizes)]
+def _points(
+    sizes: Sequence[int], measure: Callable[[int], float]
+) -> tuple[Point, ...]:
+    return tuple(Point(size, measure(size)) for size in sizes)
 
 
-def _list_slopes(measure: Callable[[], Iterator[Slope]]) -> list[Slope]:
-    return list(measure())
+def _least_s(act: Callable[[], object]) -> float:
+    """Return the least processor time of some runs."""
+    spent = []
+    for _ in range(REPEATS):
+        gc.collect()
+        began = time.process_time()
+        act()
+        spent.append(time.process_time() - began)
+    return min(spent)
 
 
-def _standing_slopes() -> Iterator[Slope]:
-    yield capacity_control.standing_slope()
+def _opening_us(upstreams: int) -> float:
+    node = CapacityNode(upstreams)
+    numbers = iter(range(REPEATS * FLOWS))
 
+    def open_flows() -> None:
+        for _ in range(FLOWS):
+            node.open_flow(next(numbers))
 
-def _platform_slopes() -> Iterator[Slope]:
-    yield from capacity_platform.platform_slopes(
-        [
-            capacity_platform.measure_rack(one)
-            for one in capacity_platform.RACK_SIZES
-        ],
-        [
-            capacity_platform.measure_return(one)
-            for one in capacity_platform.FLEET_SIZES
-        ],
-    )
+    return _least_s(open_flows) / FLOWS * US_PER_S
 
 
-def _claims_slopes() -> Iterator[Slope]:
-    yield from capacity_claims.claims_slopes(
-        [capacity_claims.measure_claims(*one) for one in capacity_claims.SHAPES]
-    )
+def _node_with_flows(flows: int) -> CapacityNode:
+    node = CapacityNode(UPSTREAM_SIZES[0])
+    for number in range(flows):
+        node.open_flow(number)
+    return node
 
 
-def _manifest_slopes() -> Iterator[Slope]:
-    yield from capacity_manifest.manifest_slopes(
-        [
-            capacity_manifest.measure_manifest(one)
-            for one in capacity_manifest.UPSTREAM_COUNTS
-        ]
-    )
+def _carrying_us(flows: int) -> float:
+    node = _node_with_flows(flows)
 
+    def carry() -> None:
+        for number in range(flows):
+            node.carry(number)
 
-def write_page(measured: capacity_roles.Measured) -> None:
-    """Rewrite the tables of the page and the raw figures.
+    return _least_s(carry) / flows * US_PER_S
 
-    Args:
-        measured: The run.
-    """
-    verdicts = tuple(capacity_roles.judge(measured))
-    blocks = {
-        'roles': capacity_page.render_verdicts(verdicts),
-        'failures': capacity_page.render_failures(verdicts),
-        'slopes': capacity_page.render_slopes(measured.slopes.values()),
-        'fleets': _render_fleets(measured.fleets),
-    }
-    page = capacity_page.replace_blocks(PAGE.read_text(), blocks)
-    PAGE.write_text(page)
-    RAW_FIGURES.parent.mkdir(exist_ok=True)
-    raw = {
-        'design': dataclasses.asdict(DESIGN),
-        'limits': dataclasses.asdict(LIMITS),
-        'processors': PROCESSORS,
-        'process_bytes': measured.process_bytes,
-        'fleets': [dataclasses.asdict(one) for one in measured.fleets],
-        'slopes': [
-            {**dataclasses.asdict(one), 'fit': dataclasses.asdict(one.fit)}
-            for one in measured.slopes.values()
-        ],
-        'verdicts': [
-            {**dataclasses.asdict(one), 'holds': one.holds} for one in verdicts
-        ],
-    }
-    RAW_FIGURES.write_text(json.dumps(raw, indent=2))
-
-
-def _render_fleets(
-    fleets: Sequence[capacity_control.FleetCost],
-) -> Iterator[str]:
-    head = (
-        'Entry VMs',
-        'Failure domains',
-        'Links of a VM',
-        'Bytes/s sent',
-        'Processor ms/s',
-        'Granted part of the limits',
-    )
-    figure = capacity_page.format_figure
-    ordered = sorted(fleets, key=lambda one: (one.entry_vms, one.links))
-    yield from capacity_page.render_table(
-        head,
-        (
-            (
-                str(one.entry_vms),
-                str(one.failure_domains),
-                figure(one.links),
-                figure(one.bytes_s),
-                figure(one.cpu_ms_s),
-                figure(one.granted),
+
+def _sweep_us(flows: int) -> float:
+    node = _node_with_flows(flows)
+    return _least_s(node.opener.drop_idle) * US_PER_S
+
+
+def _listing_ms(upstreams: int) -> float:
+    def take_over() -> None:
+        CapacityNode(0).replica.merge_listing(listing(upstreams, 2))
+
+    def build() -> None:
+        CapacityNode(0)
+        listing(upstreams, 2)
+
+    return max(0, _least_s(take_over) - _least_s(build)) * MS_PER_S
+
+
+def _change_us(upstreams: int) -> float:
+    node = CapacityNode(upstreams)
+    revision = 1
+
+    def change() -> None:
+        nonlocal revision
+        for _ in range(10):
+            revision += 1
+            item = listing(1, revision).items[0]
+            event = WatchEvent(item.key, item.value, revision)
+            node.replica.merge_changes(
+                revision - 1, Changes((event,), revision)
             )
-            for one in ordered
-        ),
+
+    return _least_s(change) / 10 * US_PER_S
+
+
+def _state_bytes(upstreams: int) -> float:
+    tracemalloc.start()
+    node = CapacityNode(upstreams)
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del node
+    return held
+
+
+def _snapshot_bytes(upstreams: int) -> float:
+    items = listing(upstreams, 2).items
+    snapshot = peer_messages.Snapshot(
+        2, 0, peer_messages.stored_items(items, after=0)
     )
+    return len(peer_messages.encode_snapshot(snapshot))
 
 
-@click.command()
-def main() -> None:
-    """Measure and write docs/CAPACITY.md and build/capacity.json."""
-    with ProcessPoolExecutor(WORKERS) as pool:
-        measured = measure_all(pool)
-    write_page(measured)
-    for verdict in capacity_roles.judge(measured):
-        if not verdict.holds:
-            click.echo(
-                f'does not hold: {verdict.role}: {verdict.subject}: '
-                f'{capacity_page.format_figure(verdict.figure)} {verdict.unit}'
-            )
+class _Heartbeats:
+    """A publisher whose datagrams are counted."""
+
+    def __init__(self, subscribers: int) -> None:
+        node = CapacityNode(UPSTREAM_SIZES[0])
+        self.sent_bytes = 0
+        self.publisher = Publisher(
+            node.settings, node.replica, time.monotonic, self._send, int
+        )
+        for index in range(subscribers):
+            self.publisher.subscribed(('127.0.0.1', index + 1))
+        self.sent_bytes = 0
+
+    def _send(self, datagram: bytes, _address: tuple[str, int]) -> None:
+        self.sent_bytes += len(datagram)
+
+
+def _heartbeat_bytes_s(subscribers: int) -> float:
+    heartbeats = _Heartbeats(subscribers)
+    heartbeats.publisher.announce()
+    return heartbeats.sent_bytes / HEARTBEAT_S
+
+
+def _heartbeat_us_s(subscribers: int) -> float:
+    announce = _Heartbeats(subscribers).publisher.announce
+
+    def announce_often() -> None:
+        for _ in range(100):
+            announce()
+
+    return _least_s(announce_often) / 100 / HEARTBEAT_S * US_PER_S
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/tools/src/hibiscushatch_tools/capacity_node.py
@@ -0,0 +1,230 @@
+"""An entry VM with token affinity for measurements, without sockets.
+
+It is made of the real decisions, with packets and documents of its own: what
+they cost does not depend on the users' formats.
+"""
+
+import random
+import struct
+import time
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.cold_allowance import ColdAllowance
+from hibiscushatch_token.flow_opener import FlowOpener
+from hibiscushatch_token.flow_table import FlowTable
+from hibiscushatch_token.forwarder import Forwarder
+from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.model import (
+    NO_CONFIG,
+    Route,
+    RoutingConfig,
+    ServicePolicy,
+    Upstream,
+    WeightedService,
+)
+from hibiscushatch_token.packet_exit import PacketExit
+from hibiscushatch_token.placement import Placement
+from hibiscushatch_token.ports import (
+    Documents,
+    FlowPacket,
+    Listing,
+    PacketCodec,
+    Reset,
+)
+from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.replica import StoreReplica
+from hibiscushatch_token.request_watch import RequestWatch
+from hibiscushatch_token.response_times import ResponseTimes
+from hibiscushatch_token.settings import StoreSettings, TokenNodeSettings
+
+SEED = 11
+NO_EVACUATIONS: tuple[tuple[str, bool], ...] = ()
+DOMAINS = 6
+SERVICE = 'service-0'
+_ENDPOINT = (bytes((198, 18, 0, 1)), 443)
+_PACKET = struct.Struct('>QIB')
+_OPENING = 1
+_LAST = 2
+_REGISTRY = 'upstreams/'
+_SLOTS = 3
+
+
+class PlainCodec(PacketCodec):
+    """Packets of a flow number, a token and flags."""
+
+    def parse(self, datagram: bytes) -> FlowPacket | None:
+        """Read a packet."""
+        number, token, flags = _PACKET.unpack(datagram)
+        return FlowPacket(
+            datagram=datagram,
+            flow=number.to_bytes(8, 'big'),
+            endpoint=_ENDPOINT,
+            token=token,
+            is_opening=bool(flags & _OPENING),
+            copy=0,
+            waited_s=0,
+            has_payload=flags == 0,
+            is_last=bool(flags & _LAST),
+        )
+
+    def describe(self, flow: bytes) -> str:
+        """Name a flow."""
+        return flow.hex()
+
+    def encapsulate(self, packet: FlowPacket, upstream: Upstream) -> bytes:
+        """Address a packet to an upstream."""
+        return upstream.identity + packet.datagram
+
+    def reset(self, packet: FlowPacket) -> Reset:
+        """Build a reset."""
+        return Reset(packet.datagram, ('127.0.0.1', 1))
+
+
+class PlainDocuments(Documents):
+    """Upstreams encoded as msgspec writes them; no configuration."""
+
+    @property
+    def registry_prefix(self) -> str:
+        """Prefix of the entries of upstreams."""
+        return _REGISTRY
+
+    def read_config(self, events: Iterable[WatchEvent]) -> RoutingConfig | None:
+        """Find none that is newer than the one in force."""
+        return NO_CONFIG
+
+    def evacuations(
+        self, events: Iterable[WatchEvent]
+    ) -> Iterator[tuple[str, bool]]:
+        """Find no evacuation."""
+        return iter(NO_EVACUATIONS)
+
+    def registered(
+        self, events: Iterable[WatchEvent]
+    ) -> Iterator[tuple[str, Upstream | None]]:
+        """Yield upstreams by name."""
+        for event in events:
+            name = event.key.removeprefix(_REGISTRY)
+            yield name, msgspec.json.decode(event.value, type=Upstream)
+
+
+class CapacityNode:
+    """The decisions of one entry VM.
+
+    Args:
+        upstreams: Upstreams of its one service.
+    """
+
+    def __init__(self, upstreams: int) -> None:
+        randomness = random.Random(SEED)  # noqa: S311
+        clock = time.monotonic
+        counters = Counters()
+        codec = PlainCodec()
+        self.settings = node_settings()
+        routing = Routing()
+        route = Route((WeightedService(SERVICE, 1),), aim_s=1, timeout_s=2)
+        policies = {SERVICE: ServicePolicy(0, 2000)}
+        routing.apply_config(RoutingConfig(1, {_ENDPOINT: route}, policies), 1)
+        reachability = Reachability(randomness)
+        registry = Registry(clock, 60, reachability.forget)
+        times = ResponseTimes(clock)
+        self.flows = FlowTable()
+        placement = Placement(
+            self.settings,
+            registry,
+            routing,
+            self.flows,
+            reachability,
+            times,
+            ColdAllowance(registry, routing, _fleet, clock, randomness),
+            _fleet,
+            clock,
+            randomness,
+        )
+        self.opener = FlowOpener(
+            self.settings.placement,
+            codec,
+            routing,
+            registry,
+            self.flows,
+            placement,
+            reachability,
+            PacketExit(codec, counters, _swallow),
+            counters,
+            clock,
+        )
+        self._forwarder = Forwarder(
+            codec,
+            registry,
+            self.flows,
+            self.opener,
+            RequestWatch(times, clock),
+            PacketExit(codec, counters, _swallow),
+            counters,
+            clock,
+        )
+        self.replica = StoreReplica(
+            PlainDocuments(), routing, registry, clock, 2, 2
+        )
+        self.replica.merge_listing(listing(upstreams, 1))
+
+    def open_flow(self, number: int) -> None:
+        """Handle an opening packet and the caller's next one."""
+        self._forwarder.handle(_PACKET.pack(number, 0, _OPENING), '')
+        record = self.flows.get(number.to_bytes(8, 'big'))
+        token = record.upstream.token
+        self._forwarder.handle(_PACKET.pack(number, token, 0), '')
+
+    def carry(self, number: int) -> None:
+        """Handle a packet of an open flow."""
+        record = self.flows.get(number.to_bytes(8, 'big'))
+        datagram = _PACKET.pack(number, record.upstream.token, 0)
+        self._forwarder.handle(datagram, '')
+
+
+def node_settings() -> TokenNodeSettings:
+    """Build settings in the first failure domain."""
+    return TokenNodeSettings(
+        name='vm-0',
+        domain='domain-0',
+        packets='127.0.0.1:1',
+        readiness='127.0.0.1:2',
+        control='127.0.0.1:3',
+        metrics='127.0.0.1:4',
+        store=StoreSettings(address='127.0.0.1:5'),
+    )
+
+
+def listing(upstreams: int, revision: int) -> Listing:
+    """Build the listing of a store with so many upstreams."""
+    return Listing(
+        tuple(_stored(index, revision) for index in range(upstreams)), revision
+    )
+
+
+def _stored(index: int, revision: int) -> StoredValue:
+    upstream = Upstream(
+        name=f'{index:08x}',
+        identity=index.to_bytes(8, 'big'),
+        token=index + 1,
+        service=SERVICE,
+        address=('10.0.0.1', index + 1),
+        domain=f'domain-{index % DOMAINS}',
+        slots=_SLOTS,
+        is_draining=False,
+        cold_s=0,
+        incarnation=revision,
+    )
+    encoded = msgspec.json.encode(upstream)
+    return StoredValue(_REGISTRY + upstream.name, encoded, revision)
+
+
+def _fleet() -> int:
+    return 1
+
+
+def _swallow(_datagram: bytes, _target: tuple[str, int]) -> None:
+    """Take a datagram that leaves."""
--- a/packages/tools/src/hibiscushatch_tools/entry_processes.py
+++ b/packages/tools/src/hibiscushatch_tools/entry_processes.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import contextlib
-import os
 import pathlib
 import signal
 import sys
@@ -25,9 +24,6 @@
 FABRIC_PORT = 6639
 PLATFORM_PORT = 2379
 STOP_TIMEOUT_S = 10.0
-_SECONDS_PER_TICK = 1 / os.sysconf('SC_CLK_TCK')
-_USER_TICKS_FIELD = 11
-_SYSTEM_TICKS_FIELD = 12
 
 
 class ManagedProcess:
@@ -47,14 +43,6 @@
         """Its process id."""
         return self._process.pid
 
-    @property
-    def cpu_s(self) -> float:
-        """Processor time it has used so far, in seconds."""
-        text = pathlib.Path(f'/proc/{self.pid}/stat').read_text()
-        fields = text.rpartition(')')[2].split()
-        ticks = (fields[_USER_TICKS_FIELD], fields[_SYSTEM_TICKS_FIELD])
-        return sum(map(int, ticks)) * _SECONDS_PER_TICK
-
     async def stop(self) -> int:
         """Send SIGTERM and wait; SIGKILL when that takes too long.
 
--- a/packages/tools/src/hibiscushatch_tools/fabric.py
+++ b/packages/tools/src/hibiscushatch_tools/fabric.py
@@ -95,10 +95,6 @@
         self._members[member.host.name] = member
         self._by_relay[member.relay] = member
 
-    def remove_member(self, name: str) -> None:
-        """Forget an entry VM."""
-        self._members.pop(name, None)
-
     def add_upstream(self, target: tuple[str, int], end: UpstreamEnd) -> None:
         """Know the tunnel address of an upstream."""
         self._upstreams[target] = end
--- a/packages/tools/src/hibiscushatch_tools/fleet_processes.py
+++ b/packages/tools/src/hibiscushatch_tools/fleet_processes.py
@@ -46,11 +46,6 @@
         """The settings of the entry VMs."""
         return self._fleet
 
-    @property
-    def processes(self) -> Sequence[ManagedProcess]:
-        """The entry VMs' processes, in the order of the settings."""
-        return tuple(self._processes)
-
     async def start(self, manifest: ManifestDocument) -> None:
         """Start the platform and all entry VMs, and wait until they serve.
 
