--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscushatch_core.counters import Counters
+from hibiscushatch_core.errors import InvalidDocumentError
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
 from hibiscushatch_token import http1, status
 from hibiscushatch_token.cold_allowance import ColdAllowance
@@ -27,7 +28,11 @@
 from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.request_watch import RequestWatch
 from hibiscushatch_token.response_times import ResponseTimes
-from hibiscushatch_token.settings import TokenNodeSettings, socket_address
+from hibiscushatch_token.settings import (
+    TokenNodeSettings,
+    changed_fields,
+    socket_address,
+)
 from hibiscushatch_token.store_reader import StoreReader
 from hibiscushatch_token.subscriber import SNAPSHOT_PATH, Subscriber
 
@@ -214,6 +219,7 @@
         codec: The format of packets.
         store: The platform's store.
         documents: Reads what lies in the store.
+        read_again: Reads the settings again.
     """
 
     def __init__(
@@ -222,8 +228,10 @@
         codec: PacketCodec,
         store: Store,
         documents: Documents,
+        read_again: Callable[[], TokenNodeSettings],
     ) -> None:
         self._settings = settings
+        self._read_again = read_again
         self._store = store
         self._is_ready = False
         self._is_stopping = False
@@ -256,6 +264,14 @@
         """Serve until SIGTERM or SIGINT, then until callers are elsewhere."""
         stop = self._handle_signals()
         await self._listen()
+        _log.info(
+            'started',
+            extra={
+                'vm': self._settings.name,
+                'domain': self._settings.domain,
+                'publisher': self._settings.is_publisher,
+            },
+        )
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(one) for one in self._activities()]
             await stop.wait()
@@ -387,10 +403,19 @@
         return self._control.replica.revision > 0
 
     def _note_reload(self) -> None:
-        # Addresses and the failure domain are fixed for the life of a
-        # process; nothing else in the settings differs between machines.
+        # Sockets and publishers are set up once, at the start.
+        try:
+            settings = self._read_again()
+        except InvalidDocumentError as error:
+            _log.error('settings unreadable', extra={'error': str(error)})
+            return
+        changed = changed_fields(self._settings, settings)
         _log.info(
-            'reload asked, settings kept', extra={'vm': self._settings.name}
+            'settings read again',
+            extra={
+                'vm': self._settings.name,
+                'changed': ','.join(changed) or 'none',
+            },
         )
 
     def _ready(self, _query: bytes) -> http1.Response:
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -151,3 +151,14 @@
     """Split an address such as ``10.0.0.1:443`` for the socket module."""
     host, _, port = text.rpartition(':')
     return host, int(port)
+
+
+def changed_fields(
+    before: TokenNodeSettings, after: TokenNodeSettings
+) -> list[str]:
+    """Name the fields that differ."""
+    return [
+        name
+        for name in before.__struct_fields__
+        if getattr(before, name) != getattr(after, name)
+    ]
--- a/packages/token/tests/settings_test.py
+++ b/packages/token/tests/settings_test.py
@@ -4,8 +4,14 @@
 import pathlib
 import tempfile
 
+import token_fixtures
+
 from hibiscushatch_core.errors import InvalidDocumentError
-from hibiscushatch_token.settings import read_settings, socket_address
+from hibiscushatch_token.settings import (
+    changed_fields,
+    read_settings,
+    socket_address,
+)
 
 VALID = {
     'name': 'vm-1',
@@ -57,3 +63,10 @@
         assert error.peer == '/nowhere/settings.json'
     else:
         raise AssertionError('no error')
+
+
+def test_changed_fields_are_named() -> None:
+    before = token_fixtures.settings()
+    after = token_fixtures.settings(log_level='DEBUG', rotation_s=2)
+    assert changed_fields(before, after) == ['rotation_s', 'log_level']
+    assert changed_fields(before, before) == []
