Do not count buckets that left a returned domain as evened

Cause: buckets that leave a domain which is taken out stay in motion while old flows live. Ruled out: the pace itself (a sixth instead of an eighth at a time changes nothing), the warm-up. Change: a bucket whose base is still cold does not hold up the evening.

--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -284,9 +284,14 @@
         """Tell whether a bucket is in motion to even the load.
 
         One that had to leave its upstream may stay in motion for as long as
-        that upstream's flows live; it does not hold up the evening.
+        that upstream's flows live; it does not hold up the evening, nor does
+        it when the upstream has come back since and is still cold.
         """
-        return bucket.through_owner and self.is_eligible(bucket.bases[0])
+        base = bucket.bases[0]
+        if not bucket.through_owner or not self.is_eligible(base):
+            return False
+        upstream = self._state.manifest.upstreams_by_name[base]
+        return self._admission.planned_weight(upstream) >= upstream.connections
 
     def _rest_buckets(self, service: Service) -> None:
         for index in self._state.table.in_motion(service.name):
