Let a backup go on with what a lost owner had learned

Cause: an owner takes UDP datagrams of unknown flows for old ones until it has watched a bucket in motion for the idle timeout. When it died, the next owner began to watch anew, and sent new flows to the drained upstream for 3 s more, though it had been the backup and held all entries. Change: a backup notes since when it gets copies, and begins its own watch at that time; watches end with the motion of their bucket.

--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -55,7 +55,8 @@
     """What the owner knows of a bucket in motion.
 
     Attributes:
-        since_s: When the owner began to see all its packets.
+        since_s: Since when this VM, or the owner whose backup it was, has
+            seen all its packets.
     """
 
     since_s: float
@@ -75,6 +76,9 @@
         self._publisher = publisher
         self._opening: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._motions: dict[tuple[str, int], _Motion] = {}
+        # Since when this VM gets copies of what the owner of a bucket in
+        # motion learns.
+        self._backed_up_since_s: dict[tuple[str, int], float] = {}
         self._answered_at_s: dict[str, float] = {}
         self._planned_inputs = (0, 0, 0)
         self._planned_weights: tuple[int, ...] = ()
@@ -128,8 +132,13 @@
         Returns:
             Seconds; 0 when the bucket is not in motion.
         """
-        motion = self._motions.get((service, index))
-        return self._state.now() - motion.since_s if motion else 0
+        key = (service, index)
+        known = key in self._motions or key in self._backed_up_since_s
+        if not known or not self._state.owns(service, index):
+            return 0
+        if self._state.table.state(service, index).at_rest:
+            return 0
+        return self._state.now() - self._begin_watch(service, index).since_s
 
     def note_entry(self, service: str, index: int, key: int) -> None:
         """Copy a flow's entry to the backup while its bucket needs it."""
@@ -189,7 +198,7 @@
             return under_way
         bucket = self._state.table.state(service, index)
         if bucket.through_owner:
-            self._motions.setdefault(key, _Motion(self._state.now()))
+            self._begin_watch(service, index)
             return None
         task = asyncio.create_task(self._announce(service, index, bucket))
         self._opening[key] = task
@@ -294,13 +303,13 @@
         return self._admission.planned_weight(upstream) >= upstream.connections
 
     def _rest_buckets(self, service: Service) -> None:
+        self._forget_watches(service.name)
         for index in self._state.table.in_motion(service.name):
+            self._note_backup(service.name, index)
             if not self._state.owns(service.name, index):
                 continue
             bucket = self._state.table.state(service.name, index)
-            motion = self._motions.setdefault(
-                (service.name, index), _Motion(self._state.now())
-            )
+            motion = self._begin_watch(service.name, index)
             if self._can_rest(service, index, bucket, motion):
                 self._motions.pop((service.name, index))
                 self._change(
@@ -311,6 +320,31 @@
                     ),
                 )
 
+    def _note_backup(self, service: str, index: int) -> None:
+        key = (service, index)
+        owners = self._state.ownership.owners(service, index)
+        if owners.backup == self._state.name:
+            self._backed_up_since_s.setdefault(key, self._state.now())
+        elif owners.owner != self._state.name:
+            self._backed_up_since_s.pop(key, None)
+
+    def _forget_watches(self, service: str) -> None:
+        in_motion = frozenset(self._state.table.in_motion(service))
+        for watches in (self._motions, self._backed_up_since_s):
+            for key in tuple(watches):
+                if key[0] == service and key[1] not in in_motion:
+                    watches.pop(key)
+
+    def _begin_watch(self, service: str, index: int) -> _Motion:
+        """Go on with what a lost owner learned, where this VM backed it up."""
+        key = (service, index)
+        known = self._motions.get(key)
+        if known is None:
+            now_s = self._state.now()
+            known = _Motion(self._backed_up_since_s.pop(key, now_s))
+            self._motions[key] = known
+        return known
+
     def _can_rest(
         self, service: Service, index: int, bucket: BucketState, motion: _Motion
     ) -> bool:
