--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	packages/token platform platform/soak
 MANIFESTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
-.PHONY: soak setup demo test capacity lint format
+.PHONY: soak setup demo demo-token test capacity lint format
 
 setup: $(STAMP)
 
@@ -21,6 +21,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m hibiscushatch_tools.demo
 
+demo-token: $(STAMP)
+	$(BIN)/python -m hibiscushatch_soak.soak --seconds 0
+
 test: $(STAMP)
 	$(BIN)/python -m hibiscushatch_tools.run_tests
 
