Give one of two upstreams with one token all flows, the same everywhere

Of two upstreams that share one, the later entry took it over, and packets of the other's open flows went astray; entry VMs that learned of them in another order disagreed. Change: the one whose name comes first gets flows, the other none while both are listed, with a warning. Test: forwarder_test.test_of_two_upstreams_with_one_token_the_same_one_gets_ flows (failed in one of the two orders). Left: the one left out returns only when its own entry changes.

--- a/packages/token/src/hibiscushatch_token/knowledge.py
+++ b/packages/token/src/hibiscushatch_token/knowledge.py
@@ -145,10 +145,11 @@
             self._cold_until[name] = self._clock() + upstream.cold_s
         self._listed[name] = upstream
         self._removed_at.pop(name, None)
-        self._by_token[upstream.token] = upstream
         if known is not None and known.service != upstream.service:
-            self._by_service[known.service].pop(name)
-        self._by_service.setdefault(upstream.service, {})[name] = upstream
+            self._by_service[known.service].pop(name, None)
+        if self._takes_token(upstream):
+            self._by_token[upstream.token] = upstream
+            self._by_service.setdefault(upstream.service, {})[name] = upstream
         if known is None or known.is_draining != upstream.is_draining:
             _log_upstream('upstream listed', upstream, revision)
 
@@ -174,9 +175,33 @@
             return
         self._listed.pop(name)
         self._removed_at[name] = self._clock()
-        self._by_service[known.service].pop(name)
+        self._by_service[known.service].pop(name, None)
         _log_upstream('upstream removed', known, revision)
 
+    def _takes_token(self, upstream: Upstream) -> bool:
+        """Settle which of two upstreams with one token gets flows.
+
+        Tokens are hashes. Every entry VM has to come to the same answer, in
+        whatever order it learns of the two.
+        """
+        holder = self._by_token.get(upstream.token)
+        if holder is None or holder.name not in self._listed:
+            return True
+        if holder.name == upstream.name:
+            return True
+        is_first = upstream.name < holder.name
+        kept, left_out = (upstream, holder) if is_first else (holder, upstream)
+        self._by_service.get(left_out.service, {}).pop(left_out.name, None)
+        _log.warning(
+            'two upstreams with one token',
+            extra={
+                'token': upstream.token,
+                'upstream': kept.name,
+                'left_out': left_out.name,
+            },
+        )
+        return is_first
+
 
 def _log_upstream(event: str, upstream: Upstream, revision: int) -> None:
     _log.info(
--- a/packages/token/tests/forwarder_test.py
+++ b/packages/token/tests/forwarder_test.py
@@ -99,3 +99,14 @@
     again = upstream('a1', incarnation=2)
     scene.registry.apply('a1', again, 3)
     assert scene.reachability.verdict(again).value == 'usable'
+
+
+def test_of_two_upstreams_with_one_token_the_same_one_gets_flows() -> None:
+    names = ('ab', 'ba')
+    assert upstream('ab').token == upstream('ba').token
+    for order in (names, tuple(reversed(names))):
+        scene = stage(*(upstream(name) for name in order))
+        chosen = {scene.open(f'f00{index}') for index in range(4)}
+        assert chosen == {'ab'}, order
+        assert scene.answer('f000', 'ab') == 'ab'
+        assert set(scene.registry.names) == {'ab', 'ba'}
