Announce changes as compressed deltas

Change: a publisher keeps a log of 2,000 changes. Messages are compressed MessagePack. A publisher's first listing is not announced item by item. Tests: publisher_test (several datagrams, lost ones, a log that is too short, a first listing, messages that unpack to more than 16 MB).

--- a/packages/token/src/hibiscushatch_token/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/peer_messages.py
@@ -1,4 +1,8 @@
-"""Messages between entry VMs, JSON over UDP and HTTP."""
+"""Messages between entry VMs, over UDP and HTTP.
+
+Entries of the store resemble each other and are binary, so messages are
+MessagePack, compressed: a tenth of JSON where there are many.
+"""
 
 import zlib
 from collections.abc import Iterable
@@ -44,7 +48,7 @@
             publishers do not count.
         fleet: The sum over all publishers that it hears.
         before: The items are all changes after this revision.
-        items: The latest changes; none when they are too large.
+        items: These changes.
     """
 
     vm: str
@@ -58,7 +62,7 @@
     items: list[Item] = []
 
 
-class Snapshot(msgspec.Struct, frozen=True):
+class Snapshot(msgspec.Struct, frozen=True, tag='snapshot'):
     """All items; values only of those the reader does not have."""
 
     revision: int
@@ -66,42 +70,55 @@
     items: list[Item]
 
 
-_DATAGRAM_DECODER = msgspec.json.Decoder(Subscription | Announcement)
-_SNAPSHOT_DECODER = msgspec.json.Decoder(Snapshot)
+class Delta(msgspec.Struct, frozen=True, tag='delta'):
+    """All changes after one revision and up to another."""
+
+    before: int
+    revision: int
+    age_ms: int
+    items: list[Item]
+
+
+CatchUp = Snapshot | Delta
 
+Datagram = Subscription | Announcement
 
-def encode_datagram(message: Subscription | Announcement) -> bytes:
-    """Encode a message for one datagram."""
-    return msgspec.json.encode(message)
+_DATAGRAM_DECODER = msgspec.msgpack.Decoder(Datagram)
+_CATCH_UP_DECODER = msgspec.msgpack.Decoder(CatchUp)
 
+# The fastest: a publisher compresses each change while callers wait.
+_COMPRESSION_LEVEL = 1
+# Sixteen times the entries of 3,700 upstreams (docs/CAPACITY.md).
+_MESSAGE_BYTES_MAX = 16_000_000
 
-def decode_datagram(datagram: bytes, peer: str) -> Subscription | Announcement:
+
+def encode(message: Datagram | CatchUp) -> bytes:
+    """Encode and compress a message."""
+    return zlib.compress(msgspec.msgpack.encode(message), _COMPRESSION_LEVEL)
+
+
+def decode_datagram(datagram: bytes, peer: str) -> Datagram:
     """Decode a datagram.
 
     Raises:
         PeerError: When it is no message.
     """
     try:
-        return _DATAGRAM_DECODER.decode(datagram)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _DATAGRAM_DECODER.decode(_decompress(datagram))
+    except (msgspec.MsgspecError, zlib.error, ValueError) as error:
         raise PeerError('reading a datagram', peer, str(error)) from error
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Encode and compress a snapshot."""
-    return zlib.compress(msgspec.json.encode(snapshot))
-
-
-def decode_snapshot(body: bytes, peer: str) -> Snapshot:
-    """Decode a snapshot.
+def decode_catch_up(body: bytes, peer: str) -> CatchUp:
+    """Decode what this reader was missing.
 
     Raises:
-        PeerError: When it is none.
+        PeerError: When it is nothing of the kind.
     """
     try:
-        return _SNAPSHOT_DECODER.decode(zlib.decompress(body))
-    except (msgspec.MsgspecError, zlib.error, UnicodeDecodeError) as error:
-        raise PeerError('reading a snapshot', peer, str(error)) from error
+        return _CATCH_UP_DECODER.decode(_decompress(body))
+    except (msgspec.MsgspecError, zlib.error, ValueError) as error:
+        raise PeerError('catching up', peer, str(error)) from error
 
 
 def as_items(events: Iterable[WatchEvent]) -> list[Item]:
@@ -124,3 +141,11 @@
         )
         for one in items
     ]
+
+
+def _decompress(compressed: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    message = decompressor.decompress(compressed, _MESSAGE_BYTES_MAX)
+    if not decompressor.eof:
+        raise ValueError('cut short or too large')
+    return message
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -1,13 +1,15 @@
 """Tells other entry VMs what this one has read from the store.
 
 The store counts each call, so a few entry VMs read it and pass on what they
-read. A change goes out at once, and again with each heartbeat for a while, so
-that a lost datagram does no harm; larger ones are fetched as a snapshot.
+read. A change goes out at once in datagrams. Each of them, and each heartbeat,
+tells which revision it leads to, so that a subscriber notices what it missed
+and fetches that: the changes since, or everything when they are too long ago.
 """
 
 import asyncio
 import collections
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import http1, peer_messages
@@ -18,11 +20,10 @@
 HEARTBEAT_S = 0.5
 # Six heartbeats without a subscription.
 _SUBSCRIBER_SILENT_S = 3.0
-# Changes are repeated in two more heartbeats.
-_REPEAT_S = 1.2
 # A datagram of this size is not fragmented on Ethernet.
 _DATAGRAM_BYTES_MAX = 1400
-_RECENT_CHANGES = 8
+# Changes that subscribers can still fetch; an entry has some 250 bytes.
+_LOGGED_CHANGES = 2000
 
 Address = tuple[str, int]
 SendDatagram = Callable[[bytes, Address], None]
@@ -56,12 +57,9 @@
             socket_address(one) for one in settings.publishers
         )
         self._heard_at: dict[Address, float] = {}
-        self._recent: collections.deque[WatchEvent] = collections.deque(
-            maxlen=_RECENT_CHANGES
-        )
-        # All changes after this revision are among the recent ones.
-        self._recent_after = 0
-        self._changed_at = 0.0
+        self._log: collections.deque[WatchEvent] = collections.deque()
+        # All changes after this revision are in the log.
+        self._logged_after = 0
 
     @property
     def served(self) -> int:
@@ -76,9 +74,6 @@
             for address, heard_at in list(self._heard_at.items()):
                 if heard_at < oldest:
                     self._heard_at.pop(address)
-            if self._clock() - self._changed_at > _REPEAT_S:
-                self._recent.clear()
-                self._recent_after = self._replica.revision
             self.announce()
 
     def subscribed(self, address: Address) -> None:
@@ -86,7 +81,7 @@
         is_new = address not in self._heard_at
         self._heard_at[address] = self._clock()
         if is_new and self._replica.revision:
-            self._send(self._announcement(), address)
+            self._send(self._heartbeat(), address)
 
     def changed(self, before: int, changes: Changes) -> None:
         """Announce changes that have been merged into the replica.
@@ -97,59 +92,99 @@
         """
         if not changes.events:
             return
-        self._note_recent(before, changes)
-        self.announce()
+        if not before:
+            # Subscribers have read their own first listing; a log that began
+            # with this one would hold nothing else.
+            self.announce()
+            return
+        events = sorted(changes.events, key=_revision_of)
+        self._note(before, events)
+        if self._heard_at:
+            groups = [
+                list(group)
+                for _, group in itertools.groupby(events, _revision_of)
+            ]
+            for datagram in self._datagrams(before, groups, changes.revision):
+                self._send_to_all(datagram)
 
     def announce(self) -> None:
         """Send the present state to all subscribers."""
-        if not self._replica.revision or not self._heard_at:
-            return
-        datagram = self._announcement()
-        for address in self._heard_at:
-            self._send(datagram, address)
+        if self._replica.revision and self._heard_at:
+            self._send_to_all(self._heartbeat())
 
     def snapshot(self, query: bytes) -> http1.Response:
-        """Answer a request for a snapshot.
+        """Answer a request for what a reader is missing.
 
         Args:
             query: The revision that the reader has, as decimal digits.
+
+        Returns:
+            The changes since, or everything when the log is too short.
         """
         after = int(query) if query.isdigit() else 0
-        snapshot = peer_messages.Snapshot(
-            self._replica.revision,
-            self._age_ms(),
-            peer_messages.stored_items(self._replica.items, after),
-        )
         return http1.Response(
             http1.OK,
-            peer_messages.encode_snapshot(snapshot),
+            peer_messages.encode(self._catch_up(after)),
             b'application/octet-stream',
         )
 
-    def _note_recent(self, before: int, changes: Changes) -> None:
-        self._changed_at = self._clock()
-        if not self._recent:
-            self._recent_after = before
-        for event in changes.events:
-            if len(self._recent) == _RECENT_CHANGES:
-                self._recent_after = self._recent[0].mod_revision
-            self._recent.append(event)
-
-    def _announcement(self) -> bytes:
-        datagram = self._encode(
-            self._recent_after, peer_messages.as_items(self._recent)
+    def _catch_up(self, after: int) -> peer_messages.CatchUp:
+        revision = self._replica.revision
+        if self._log and self._logged_after <= after:
+            missed = (one for one in self._log if one.mod_revision > after)
+            return peer_messages.Delta(
+                after, revision, self._age_ms(), peer_messages.as_items(missed)
+            )
+        return peer_messages.Snapshot(
+            revision,
+            self._age_ms(),
+            peer_messages.stored_items(self._replica.items, after),
         )
+
+    def _note(self, before: int, events: list[WatchEvent]) -> None:
+        if not self._log:
+            self._logged_after = before
+        self._log.extend(events)
+        while len(self._log) > _LOGGED_CHANGES:
+            self._logged_after = self._log.popleft().mod_revision
+
+    def _datagrams(
+        self, before: int, groups: list[list[WatchEvent]], revision: int
+    ) -> Iterator[bytes]:
+        """Yield announcements of changes, each of as many as it holds.
+
+        Changes of one revision stay together. Where they are too large for a
+        datagram, a heartbeat shows subscribers that something is missing.
+        """
+        items = peer_messages.as_items(itertools.chain.from_iterable(groups))
+        datagram = self._encode(before, revision, items)
         if len(datagram) <= _DATAGRAM_BYTES_MAX:
-            return datagram
-        return self._encode(self._replica.revision, [])
+            yield datagram
+        elif len(groups) == 1:
+            yield self._heartbeat()
+        else:
+            middle = len(groups) // 2
+            reached = groups[middle - 1][0].mod_revision
+            yield from self._datagrams(before, groups[:middle], reached)
+            yield from self._datagrams(reached, groups[middle:], revision)
+
+    def _heartbeat(self) -> bytes:
+        revision = self._replica.revision
+        return self._encode(revision, revision, [])
+
+    def _send_to_all(self, datagram: bytes) -> None:
+        for address in self._heard_at:
+            self._send(datagram, address)
 
-    def _encode(self, before: int, items: list[peer_messages.Item]) -> bytes:
-        return peer_messages.encode_datagram(
+    def _encode(
+        self, before: int, revision: int, items: list[peer_messages.Item]
+    ) -> bytes:
+        return peer_messages.encode(
             peer_messages.Announcement(
                 self._settings.name,
                 self._settings.control,
                 self._settings.domain,
-                self._replica.revision,
+                revision,
                 self._age_ms(),
                 self.served,
                 self.served + self._served_by_others(),
@@ -160,3 +195,7 @@
 
     def _age_ms(self) -> int:
         return int(self._replica.age_s * peer_messages.MS_PER_S)
+
+
+def _revision_of(event: WatchEvent) -> int:
+    return event.mod_revision
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -79,7 +79,7 @@
             for one in settings.publishers
             if one != settings.control
         }
-        self._subscription = peer_messages.encode_datagram(
+        self._subscription = peer_messages.encode(
             peer_messages.Subscription(settings.name, settings.control)
         )
         self._fleet = 0
@@ -105,7 +105,7 @@
             await asyncio.sleep(_SUBSCRIBE_S)
 
     async def fetch(self) -> None:
-        """Fetch snapshots when announced changes are missing here."""
+        """Fetch what is missing here of announced changes."""
         while True:
             await self._wanted.wait()
             self._wanted.clear()
@@ -164,16 +164,28 @@
             )
             self._merge(before, response.body, peer)
         except (OSError, PeerError) as error:
-            # The next announcement asks for the snapshot again.
+            # The next announcement asks for it again.
             _log.info(
-                'snapshot failed',
+                'catching up failed',
                 extra={'peer': peer, 'error': str(error) or repr(error)},
             )
         finally:
             connection.close()
 
     def _merge(self, before: int, body: bytes, peer: str) -> None:
-        snapshot = peer_messages.decode_snapshot(body, peer)
+        message = peer_messages.decode_catch_up(body, peer)
+        if isinstance(message, peer_messages.Delta):
+            events = peer_messages.as_events(message.items)
+            changes = self._replica.merge_changes(
+                message.before, Changes(events, message.revision)
+            )
+        else:
+            changes = self._replica.merge_listing(self._listing_of(message))
+        if changes is not None and self._replica.revision == message.revision:
+            self._changed(before, changes)
+            self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
+
+    def _listing_of(self, snapshot: peer_messages.Snapshot) -> Listing:
         known = {item.key: item for item in self._replica.items}
         items = []
         for item in snapshot.items:
@@ -181,9 +193,4 @@
                 items.append(StoredValue(item.key, item.value, item.revision))
             elif item.key in known:
                 items.append(known[item.key])
-        changes = self._replica.merge_listing(
-            Listing(tuple(items), snapshot.revision)
-        )
-        if self._replica.revision == snapshot.revision:
-            self._changed(before, changes)
-            self._replica.prove(snapshot.age_ms / peer_messages.MS_PER_S)
+        return Listing(tuple(items), snapshot.revision)
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -1,9 +1,14 @@
 """Tests of hibiscushatch_token.publisher and subscriber together."""
 
+import random
+import zlib
+
 import token_fixtures as fixtures
 from token_fixtures import change, listing, replica_stage
 
+from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import peer_messages
+from hibiscushatch_token.ports import Changes
 from hibiscushatch_token.publisher import Publisher
 from hibiscushatch_token.settings import socket_address
 from hibiscushatch_token.subscriber import Subscriber
@@ -53,6 +58,12 @@
             lambda _before, _changes: None,
         )
 
+    def catch_up(self, sender: PublisherScene) -> None:
+        """Fetch from a publisher what is missing."""
+        before = self.scene.replica.revision
+        response = sender.publisher.snapshot(str(before).encode())
+        self.subscriber._merge(before, response.body, 'publisher')
+
     def wanted(self) -> list[str]:
         """Return the publishers that it subscribes to next."""
         return self.subscriber._wanted_sources()
@@ -79,7 +90,7 @@
     assert receiver.scene.replica.age_s == 0
 
 
-def test_a_lost_announcement_is_made_up_for_by_the_next() -> None:
+def test_a_lost_announcement_is_noticed_and_made_up_for() -> None:
     sender = PublisherScene()
     receiver = SubscriberScene()
     for scene in (sender.scene, receiver.scene):
@@ -88,9 +99,64 @@
     sender.write('servers/a', 'here', 6)
     sender.write('servers/b', 'here', 7)
     receiver.subscriber.announced(sender.sent[-1])
+    assert receiver.subscriber._wanted.is_set()
+    receiver.catch_up(sender)
     assert set(receiver.scene.registry.names) == {'a', 'b'}
 
 
+def test_many_changes_go_out_in_several_datagrams_that_follow_on() -> None:
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    for scene in (sender.scene, receiver.scene):
+        scene.replica.merge_listing(listing(5))
+    sender.publisher.subscribed(OTHER)
+    sender.sent.clear()
+    randomness = random.Random(fixtures.SEED)
+    events = tuple(
+        WatchEvent(f'servers/{randomness.random()}', b'here', index)
+        for index in range(6, 206)
+    )
+    sender.scene.replica.merge_changes(5, Changes(events, 210))
+    sender.publisher.changed(5, Changes(events, 210))
+    assert 1 < len(sender.sent) < 20
+    for announcement in sender.sent:
+        encoded = peer_messages.encode(announcement)
+        assert len(encoded) <= 1400
+        receiver.subscriber.announced(announcement)
+    assert not receiver.subscriber._wanted.is_set()
+    assert receiver.scene.replica.revision == 210
+    assert len(receiver.scene.registry.names) == 200
+
+
+def test_a_first_listing_is_not_announced_item_by_item() -> None:
+    sender = PublisherScene()
+    sender.publisher.subscribed(OTHER)
+    upstreams = {f'servers_{index:03}': 'here' for index in range(300)}
+    changes = sender.scene.replica.merge_listing(listing(5, **upstreams))
+    sender.publisher.changed(0, changes)
+    assert [one.revision for one in sender.sent] == [5]
+    assert sender.sent[0].items == []
+    receiver = SubscriberScene()
+    receiver.catch_up(sender)
+    assert len(receiver.scene.registry.names) == 300
+
+
+def test_who_misses_more_than_the_log_has_gets_everything() -> None:
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    for scene in (sender.scene, receiver.scene):
+        scene.replica.merge_listing(listing(5, servers_gone='here'))
+    sender.write('servers/gone', None, 6)
+    for revision in range(7, 2107):
+        sender.write('servers/a', 'here', revision)
+    response = sender.publisher.snapshot(b'5')
+    message = peer_messages.decode_catch_up(response.body, 'publisher')
+    assert isinstance(message, peer_messages.Snapshot)
+    receiver.catch_up(sender)
+    assert set(receiver.scene.registry.names) == {'a'}
+    assert receiver.scene.replica.revision == 2106
+
+
 def test_a_gap_asks_for_a_snapshot_and_proves_nothing() -> None:
     receiver = SubscriberScene()
     receiver.scene.replica.merge_listing(listing(5))
@@ -100,28 +166,44 @@
     assert receiver.scene.replica.age_s == 1
 
 
-def test_a_snapshot_brings_only_what_is_missing() -> None:
+def test_only_what_is_missing_is_fetched() -> None:
     sender = PublisherScene()
     receiver = SubscriberScene()
     for scene in (sender.scene, receiver.scene):
         scene.replica.merge_listing(listing(5, servers_a='here'))
-    sender.write('servers/b', 'there', 6)
-    sender.write('servers/a', None, 7)
-    response = sender.publisher.snapshot(b'5')
-    snapshot = peer_messages.decode_snapshot(response.body, 'publisher')
-    assert [one.value for one in snapshot.items] == [b'there']
-    receiver.subscriber._merge(5, response.body, 'publisher')
-    assert set(receiver.scene.registry.names) == {'b'}
-    assert receiver.scene.replica.revision == 7
+    sender.write('servers/c', 'here', 6)
+    sender.write('servers/b', 'there', 7)
+    sender.write('servers/a', None, 8)
+    response = sender.publisher.snapshot(b'6')
+    message = peer_messages.decode_catch_up(response.body, 'publisher')
+    assert [one.key for one in message.items] == ['servers/b', 'servers/a']
+    receiver.catch_up(sender)
+    assert set(receiver.scene.registry.names) == {'b', 'c'}
+    assert receiver.scene.replica.revision == 8
+
+
+def test_an_entry_vm_that_starts_gets_a_snapshot() -> None:
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    sender.scene.replica.merge_listing(listing(5, servers_a='here'))
+    receiver.catch_up(sender)
+    assert set(receiver.scene.registry.names) == {'a'}
+    assert receiver.scene.replica.revision == 5
 
 
-def test_large_changes_are_left_to_a_snapshot() -> None:
+def test_large_changes_are_fetched_at_once() -> None:
     sender = PublisherScene()
-    sender.scene.replica.merge_listing(listing(5))
+    receiver = SubscriberScene()
+    for scene in (sender.scene, receiver.scene):
+        scene.replica.merge_listing(listing(5))
     sender.publisher.subscribed(OTHER)
-    sender.write('op/config', '1' + '0' * 2000, 6)
-    assert sender.sent[-1].items == []
-    assert sender.sent[-1].before == 6
+    sender.sent.clear()
+    version = random.Random(fixtures.SEED).getrandbits(13_000)
+    sender.write('op/config', str(version), 6)
+    receiver.subscriber.announced(sender.sent[-1])
+    assert receiver.subscriber._wanted.is_set()
+    receiver.catch_up(sender)
+    assert receiver.scene.routing.config.version == version
 
 
 def test_a_subscriber_prefers_a_near_publisher_that_is_up_to_date() -> None:
@@ -156,12 +238,11 @@
 
 
 def test_datagrams_that_make_no_sense_are_errors_with_the_peer() -> None:
-    encoded = peer_messages.encode_datagram(
-        peer_messages.Subscription('vm', NEAR)
-    )
+    encoded = peer_messages.encode(peer_messages.Subscription('vm', NEAR))
     decoded = peer_messages.decode_datagram(encoded, 'peer')
     assert decoded == peer_messages.Subscription('vm', NEAR)
-    for datagram in (b'', b'{}', b'\xff', b'{"type":"other"}'):
+    bomb = zlib.compress(bytes(20_000_000))
+    for datagram in (b'', b'{}', encoded[:-1], zlib.compress(b'other'), bomb):
         try:
             peer_messages.decode_datagram(datagram, 'peer-7')
         except peer_messages.PeerError as error:
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -311,7 +311,7 @@
     snapshot = peer_messages.Snapshot(
         2, 0, peer_messages.stored_items(items, after=0)
     )
-    return len(peer_messages.encode_snapshot(snapshot))
+    return len(peer_messages.encode(snapshot))
 
 
 class _Heartbeats:
