Count each entry VM once

Cause: an entry VM that starts asks all publishers for announcements, and each counted it for three seconds. Cold upstreams got half of what they may and more, and late flows waited for room of a fleet twice as large. Ruled out: taking the count of a shorter time; a fleet that is cut in two would count half, and cold upstreams get too much. Change: a subscription says whether this publisher is the one to count its sender, the first one that was heard, and a publisher that is left is told so. Tests: publisher_test.test_an_entry_vm_that_asks_several_publishers_is_counted_ once (counted once by each before).

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -11,7 +11,7 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import InvalidDocumentError
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
-from hibiscushatch_token import http1, status
+from hibiscushatch_token import http1, peer_messages, status
 from hibiscushatch_token.cold_allowance import ColdAllowance
 from hibiscushatch_token.flow_opener import FlowOpener
 from hibiscushatch_token.flow_table import FlowTable
@@ -185,7 +185,9 @@
             peers.send,
             self.subscriber.served_by_others,
         )
-        peers.connect(self.publisher.subscribed, self.subscriber.announced)
+        peers.connect(peer_messages.Subscription, self.publisher.subscribed)
+        peers.connect(peer_messages.Unsubscription, self.publisher.unsubscribed)
+        peers.connect(peer_messages.Announcement, self.subscriber.announced)
         self.reader = StoreReader(
             settings.store,
             store,
--- a/packages/token/src/hibiscushatch_token/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/peer_messages.py
@@ -29,6 +29,21 @@
     Attributes:
         vm: Name of the subscriber.
         control: Address at which it takes them.
+        is_counted: This publisher is the one to count it; of several that
+            are asked at a start, one counts.
+    """
+
+    vm: str
+    control: str
+    is_counted: bool
+
+
+class Unsubscription(msgspec.Struct, frozen=True, tag='unsubscription'):
+    """Asks a publisher for no more announcements.
+
+    Attributes:
+        vm: Name of the subscriber.
+        control: Address at which it took them.
     """
 
     vm: str
@@ -81,7 +96,7 @@
 
 CatchUp = Snapshot | Delta
 
-Datagram = Subscription | Announcement
+Datagram = Subscription | Unsubscription | Announcement
 
 _DATAGRAM_DECODER = msgspec.msgpack.Decoder(Datagram)
 _CATCH_UP_DECODER = msgspec.msgpack.Decoder(CatchUp)
--- a/packages/token/src/hibiscushatch_token/peer_socket.py
+++ b/packages/token/src/hibiscushatch_token/peer_socket.py
@@ -3,17 +3,20 @@
 import logging
 import socket
 from collections.abc import Callable
+from typing import TypeVar
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.reasons import DropReason
 from hibiscushatch_token import peer_messages
 from hibiscushatch_token.publisher import Address
-from hibiscushatch_token.settings import socket_address
 
 _log = logging.getLogger(__name__)
 
 
+Message = TypeVar('Message', bound=peer_messages.Datagram)
+
+
 class PeerSocket:
     """Sends and dispatches messages of entry VMs.
 
@@ -25,24 +28,13 @@
     def __init__(self, udp_socket: socket.socket, counters: Counters) -> None:
         self._socket = udp_socket
         self._counters = counters
-        self._subscribed: Callable[[Address], None] | None = None
-        self._announced: Callable[[peer_messages.Announcement], None] | None = (
-            None
-        )
+        self._takers: dict[type, Callable[..., None]] = {}
 
     def connect(
-        self,
-        subscribed: Callable[[Address], None],
-        announced: Callable[[peer_messages.Announcement], None],
+        self, kind: type[Message], taker: Callable[[Message], None]
     ) -> None:
-        """Set who takes the messages.
-
-        Args:
-            subscribed: Takes the address of a subscriber.
-            announced: Takes an announcement.
-        """
-        self._subscribed = subscribed
-        self._announced = announced
+        """Set who takes the messages of a kind."""
+        self._takers[kind] = taker
 
     def send(self, datagram: bytes, address: Address) -> None:
         """Send a datagram; one that can't be sent counts as dropped."""
@@ -62,7 +54,4 @@
             self._counters.drops[DropReason.TRUNCATED] += 1
             _log.warning('datagram unreadable', extra={'error': str(error)})
             return
-        if isinstance(message, peer_messages.Subscription):
-            self._subscribed(socket_address(message.control))
-        else:
-            self._announced(message)
+        self._takers[type(message)](message)
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -11,6 +11,8 @@
 import itertools
 from collections.abc import Callable, Iterator
 
+import msgspec
+
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import http1, peer_messages
 from hibiscushatch_token.ports import Changes
@@ -29,6 +31,18 @@
 SendDatagram = Callable[[bytes, Address], None]
 
 
+class _Subscriber(msgspec.Struct):
+    """What is known of one subscriber.
+
+    Attributes:
+        heard_at: When its latest subscription came.
+        is_counted: This publisher is the one that counts it.
+    """
+
+    heard_at: float
+    is_counted: bool
+
+
 class Publisher:
     """Announces the replica to those who subscribed.
 
@@ -53,36 +67,40 @@
         self._clock = clock
         self._send = send
         self._served_by_others = served_by_others
-        self._others = frozenset(
-            socket_address(one) for one in settings.publishers
-        )
-        self._heard_at: dict[Address, float] = {}
+        self._subscribers: dict[Address, _Subscriber] = {}
         self._log: collections.deque[WatchEvent] = collections.deque()
         # All changes after this revision are in the log.
         self._logged_after = 0
 
     @property
     def served(self) -> int:
-        """Number of subscribers that are no publishers, and this VM."""
-        return len(self._heard_at.keys() - self._others) + 1
+        """Number of subscribers that this VM counts, and itself."""
+        return 1 + sum(one.is_counted for one in self._subscribers.values())
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             oldest = self._clock() - _SUBSCRIBER_SILENT_S
-            for address, heard_at in list(self._heard_at.items()):
-                if heard_at < oldest:
-                    self._heard_at.pop(address)
+            for address, subscriber in list(self._subscribers.items()):
+                if subscriber.heard_at < oldest:
+                    self._subscribers.pop(address)
             self.announce()
 
-    def subscribed(self, address: Address) -> None:
-        """Note a subscriber and answer it at once when it is new."""
-        is_new = address not in self._heard_at
-        self._heard_at[address] = self._clock()
+    def subscribed(self, message: peer_messages.Subscription) -> None:
+        """Send announcements to an entry VM from now on."""
+        address = socket_address(message.control)
+        is_new = address not in self._subscribers
+        self._subscribers[address] = _Subscriber(
+            self._clock(), message.is_counted
+        )
         if is_new and self._replica.revision:
             self._send(self._heartbeat(), address)
 
+    def unsubscribed(self, message: peer_messages.Unsubscription) -> None:
+        """Send an entry VM no more announcements."""
+        self._subscribers.pop(socket_address(message.control), None)
+
     def changed(self, before: int, changes: Changes) -> None:
         """Announce changes that have been merged into the replica.
 
@@ -99,7 +117,7 @@
             return
         events = sorted(changes.events, key=_revision_of)
         self._note(before, events)
-        if self._heard_at:
+        if self._subscribers:
             groups = [
                 list(group)
                 for _, group in itertools.groupby(events, _revision_of)
@@ -109,7 +127,7 @@
 
     def announce(self) -> None:
         """Send the present state to all subscribers."""
-        if self._replica.revision and self._heard_at:
+        if self._replica.revision and self._subscribers:
             self._send_to_all(self._heartbeat())
 
     def snapshot(self, query: bytes) -> http1.Response:
@@ -173,7 +191,7 @@
         return self._encode(revision, revision, [])
 
     def _send_to_all(self, datagram: bytes) -> None:
-        for address in self._heard_at:
+        for address in self._subscribers:
             self._send(datagram, address)
 
     def _encode(
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -79,9 +79,8 @@
             for one in settings.publishers
             if one != settings.control
         }
-        self._subscription = peer_messages.encode(
-            peer_messages.Subscription(settings.name, settings.control)
-        )
+        self._followed: list[str] = []
+        self._counted_by = ''
         self._fleet = 0
         self._wanted = asyncio.Event()
         self._snapshot_from = ''
@@ -100,10 +99,23 @@
     async def run(self) -> None:
         """Subscribe again and again until cancelled."""
         while True:
-            for control in self._wanted_sources():
-                self._send(self._subscription, socket_address(control))
+            self.subscribe()
             await asyncio.sleep(_SUBSCRIBE_S)
 
+    def subscribe(self) -> None:
+        """Subscribe to whom to follow, and leave whom not to follow more."""
+        wanted = self._wanted_sources()
+        name = self._settings.name
+        control = self._settings.control
+        left = [one for one in self._followed if one not in wanted]
+        self._tell(left, peer_messages.Unsubscription(name, control))
+        self._followed = wanted
+        self._counted_by = ''
+        is_sure = len(wanted) == 1 and not self._settings.is_publisher
+        if is_sure:
+            self._counted_by = wanted[0]
+        self._tell(wanted, peer_messages.Subscription(name, control, is_sure))
+
     async def fetch(self) -> None:
         """Fetch what is missing here of announced changes."""
         while True:
@@ -114,12 +126,7 @@
     def announced(self, message: peer_messages.Announcement) -> None:
         """Take over what a publisher announced."""
         self._fleet = max(self._fleet, message.fleet)
-        source = self._sources.get(message.control)
-        if source is not None:
-            source.heard_at = self._clock()
-            source.domain = message.domain
-            source.served = message.served
-            source.is_current = message.age_ms <= _CURRENT_MS
+        self._note_source(message)
         before = self._replica.revision
         if message.revision < before:
             return
@@ -137,6 +144,27 @@
             self._changed(before, changes)
         self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
 
+    def _note_source(self, message: peer_messages.Announcement) -> None:
+        source = self._sources.get(message.control)
+        if source is not None:
+            source.heard_at = self._clock()
+            source.domain = message.domain
+            source.served = message.served
+            source.is_current = message.age_ms <= _CURRENT_MS
+            self._be_counted(message.control, source)
+
+    def _be_counted(self, control: str, source: _Source) -> None:
+        # Cold upstreams get too much where an entry VM is not counted.
+        if self._counted_by or self._settings.is_publisher:
+            return
+        if source.is_current:
+            self._counted_by = control
+            settings = self._settings
+            subscription = peer_messages.Subscription(
+                settings.name, settings.control, is_counted=True
+            )
+            self._tell([control], subscription)
+
     def _wanted_sources(self) -> list[str]:
         if self._settings.is_publisher:
             return list(self._sources)
@@ -152,6 +180,13 @@
         ]
         return (near or current)[:1] or list(self._sources)
 
+    def _tell(
+        self, controls: list[str], message: peer_messages.Datagram
+    ) -> None:
+        datagram = peer_messages.encode(message)
+        for control in controls:
+            self._send(datagram, socket_address(control))
+
     def _is_heard(self, source: _Source) -> bool:
         return self._clock() - source.heard_at < _SOURCE_SILENT_S
 
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -10,12 +10,11 @@
 from hibiscushatch_token import peer_messages
 from hibiscushatch_token.ports import Changes
 from hibiscushatch_token.publisher import Publisher
-from hibiscushatch_token.settings import socket_address
 from hibiscushatch_token.subscriber import Subscriber
 
 NEAR = '127.0.0.1:31'
 FAR = '127.0.0.1:32'
-OTHER = ('127.0.0.1', 33)
+OTHER = '127.0.0.1:33'
 
 
 class PublisherScene:
@@ -45,6 +44,13 @@
         self.sent.append(peer_messages.decode_datagram(datagram, 'publisher'))
 
 
+def subscription(
+    control: str, is_counted: bool = True
+) -> peer_messages.Subscription:
+    """Build the subscription of an entry VM."""
+    return peer_messages.Subscription('vm', control, is_counted)
+
+
 class SubscriberScene:
     """A subscriber with a replica, and whom it subscribed to."""
 
@@ -54,9 +60,10 @@
             fixtures.settings(control=control, publishers=[FAR, NEAR]),
             self.scene.replica,
             self.scene.clock,
-            lambda _datagram, _address: None,
+            self._send,
             lambda _before, _changes: None,
         )
+        self.told: list[tuple[str, peer_messages.Datagram]] = []
 
     def catch_up(self, sender: PublisherScene) -> None:
         """Fetch from a publisher what is missing."""
@@ -64,6 +71,10 @@
         response = sender.publisher.snapshot(str(before).encode())
         self.subscriber._merge(before, response.body, 'publisher')
 
+    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        message = peer_messages.decode_datagram(datagram, 'subscriber')
+        self.told.append((':'.join(map(str, address)), message))
+
     def wanted(self) -> list[str]:
         """Return the publishers that it subscribes to next."""
         return self.subscriber._wanted_sources()
@@ -83,7 +94,7 @@
     receiver = SubscriberScene()
     for scene in (sender.scene, receiver.scene):
         scene.replica.merge_listing(listing(5, servers_a='here'))
-    sender.publisher.subscribed(OTHER)
+    sender.publisher.subscribed(subscription(OTHER))
     sender.write('servers/b', 'there', 6)
     receiver.subscriber.announced(sender.sent[-1])
     assert set(receiver.scene.registry.names) == {'a', 'b'}
@@ -95,7 +106,7 @@
     receiver = SubscriberScene()
     for scene in (sender.scene, receiver.scene):
         scene.replica.merge_listing(listing(5))
-    sender.publisher.subscribed(OTHER)
+    sender.publisher.subscribed(subscription(OTHER))
     sender.write('servers/a', 'here', 6)
     sender.write('servers/b', 'here', 7)
     receiver.subscriber.announced(sender.sent[-1])
@@ -109,7 +120,7 @@
     receiver = SubscriberScene()
     for scene in (sender.scene, receiver.scene):
         scene.replica.merge_listing(listing(5))
-    sender.publisher.subscribed(OTHER)
+    sender.publisher.subscribed(subscription(OTHER))
     sender.sent.clear()
     randomness = random.Random(fixtures.SEED)
     events = tuple(
@@ -130,7 +141,7 @@
 
 def test_a_first_listing_is_not_announced_item_by_item() -> None:
     sender = PublisherScene()
-    sender.publisher.subscribed(OTHER)
+    sender.publisher.subscribed(subscription(OTHER))
     upstreams = {f'servers_{index:03}': 'here' for index in range(300)}
     changes = sender.scene.replica.merge_listing(listing(5, **upstreams))
     sender.publisher.changed(0, changes)
@@ -196,7 +207,7 @@
     receiver = SubscriberScene()
     for scene in (sender.scene, receiver.scene):
         scene.replica.merge_listing(listing(5))
-    sender.publisher.subscribed(OTHER)
+    sender.publisher.subscribed(subscription(OTHER))
     sender.sent.clear()
     version = random.Random(fixtures.SEED).getrandbits(13_000)
     sender.write('op/config', str(version), 6)
@@ -230,17 +241,46 @@
 def test_the_fleet_is_counted_once() -> None:
     sender = PublisherScene()
     sender.scene.replica.merge_listing(listing(5))
-    sender.publisher.subscribed(OTHER)
-    sender.publisher.subscribed(socket_address(FAR))
+    sender.publisher.subscribed(subscription(OTHER))
+    sender.publisher.subscribed(subscription(FAR, is_counted=False))
     sender.publisher.announce()
     assert sender.sent[-1].served == 2
     assert sender.sent[-1].fleet == 6
 
 
+def test_an_entry_vm_that_asks_several_publishers_is_counted_once() -> None:
+    receiver = SubscriberScene()
+    senders = {NEAR: PublisherScene(), FAR: PublisherScene()}
+    receiver.scene.replica.merge_listing(listing(5))
+    receiver.subscriber.subscribe()
+    deliver(receiver, senders)
+    assert [one.publisher.served for one in senders.values()] == [1, 1]
+    receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    deliver(receiver, senders)
+    assert [one.publisher.served for one in senders.values()] == [1, 2]
+    receiver.subscriber.announced(heartbeat(NEAR, 'here', 5))
+    receiver.subscriber.subscribe()
+    deliver(receiver, senders)
+    assert [one.publisher.served for one in senders.values()] == [2, 1]
+
+
+def deliver(
+    receiver: SubscriberScene, senders: dict[str, PublisherScene]
+) -> None:
+    """Give publishers what a subscriber told them."""
+    for control, message in receiver.told:
+        publisher = senders[control].publisher
+        if isinstance(message, peer_messages.Unsubscription):
+            publisher.unsubscribed(message)
+        else:
+            publisher.subscribed(message)
+    receiver.told.clear()
+
+
 def test_datagrams_that_make_no_sense_are_errors_with_the_peer() -> None:
-    encoded = peer_messages.encode(peer_messages.Subscription('vm', NEAR))
+    encoded = peer_messages.encode(subscription(NEAR))
     decoded = peer_messages.decode_datagram(encoded, 'peer')
-    assert decoded == peer_messages.Subscription('vm', NEAR)
+    assert decoded == subscription(NEAR)
     bomb = zlib.compress(bytes(20_000_000))
     for datagram in (b'', b'{}', encoded[:-1], zlib.compress(b'other'), bomb):
         try:
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -324,7 +324,10 @@
             node.settings, node.replica, time.monotonic, self._send, int
         )
         for index in range(subscribers):
-            self.publisher.subscribed(('127.0.0.1', index + 1))
+            control = f'127.0.0.1:{index + 1}'
+            self.publisher.subscribed(
+                peer_messages.Subscription('vm', control, is_counted=True)
+            )
         self.sent_bytes = 0
 
     def _send(self, datagram: bytes, _address: tuple[str, int]) -> None:
