Tell entry VMs of changes by relays of their own domain

Cause: every entry VM follows a publisher itself. In a domain without one, all its entry VMs fetch the same changes from another domain, and a publisher's link is full at 55 subscribers (make capacity). Ruled out: more publishers; each watches the store, whose calls are priced. Change: a publisher serves two entry VMs of each other domain and 24 of its own, and refers others to them. A relay passes on at once what it hears from a publisher, and nothing else, so that relays can't follow each other in a circle; who hears a relay no more asks the publishers again. Status, the operators' command and a log line show whom an entry VM follows. Messages with an address that is no IP number and port are unreadable. Tests: publisher_test (referrals, following a relay and leaving it, what relays pass on, how they are counted).

--- a/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
+++ b/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
@@ -93,6 +93,8 @@
         f'{status.config_version}, store revision {status.store_revision} '
         f'{status.store_age_s} s ago, {status.open_flows} flows'
     )
+    follows = ', '.join(status.follows) or 'none'
+    yield f'  follows: {follows}; tells {status.serves} entry VMs of changes'
     if status.evacuated:
         yield f'  evacuated: {", ".join(status.evacuated)}'
     for upstream in status.upstreams:
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -176,17 +176,24 @@
             settings.store.outage_s,
         )
         self.subscriber = Subscriber(
-            settings, self.replica, clock, peers.send, self._changed
+            settings,
+            self.replica,
+            clock,
+            peers.send,
+            self._changed,
+            self._renewed,
+            self._count_served,
         )
         self.publisher = Publisher(
             settings,
             self.replica,
             clock,
             peers.send,
-            self.subscriber.served_by_others,
+            self.subscriber.count_fleet,
         )
         peers.connect(peer_messages.Subscription, self.publisher.subscribed)
         peers.connect(peer_messages.Unsubscription, self.publisher.unsubscribed)
+        peers.connect(peer_messages.Referral, self.subscriber.referred)
         peers.connect(peer_messages.Announcement, self.subscriber.announced)
         self.reader = StoreReader(
             settings.store,
@@ -204,14 +211,20 @@
     @property
     def fleet(self) -> int:
         """Number of entry VMs as far as it is known; 0 when it is not."""
-        if self._settings.is_publisher:
-            served = self.subscriber.served_by_others()
-            return max(self.subscriber.fleet, self.publisher.served + served)
-        return self.subscriber.fleet
+        present = self.subscriber.count_fleet(self.publisher.served)
+        return max(self.subscriber.fleet, present)
 
     def _changed(self, before: int, changes: Changes) -> None:
         self.publisher.changed(before, changes)
 
+    def _renewed(self) -> None:
+        # A publisher's own heartbeats tell more.
+        if not self._settings.is_publisher:
+            self.publisher.announce()
+
+    def _count_served(self) -> int:
+        return self.publisher.served - 1
+
 
 class EntryVm:
     """One entry VM and what it is made of.
@@ -372,6 +385,8 @@
             store_revision=replica.revision,
             store_age_s=round(replica.age_s, 3),
             known_entry_vms=self._count_fleet(),
+            follows=self._control.subscriber.followed,
+            serves=self._control.publisher.served - 1,
             open_flows=self._traffic.forwarder.open_flows,
             evacuated=sorted(self._traffic.routing.evacuated),
             upstreams=list(self._traffic.upstreams()),
--- a/packages/token/src/hibiscushatch_token/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/peer_messages.py
@@ -4,6 +4,7 @@
 MessagePack, compressed: a tenth of JSON where there are many.
 """
 
+import socket
 import zlib
 from collections.abc import Iterable
 
@@ -11,8 +12,10 @@
 
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.settings import socket_address
 
 MS_PER_S = 1000
+_PORT_MAX = 65535
 
 
 class Item(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -29,12 +32,16 @@
     Attributes:
         vm: Name of the subscriber.
         control: Address at which it takes them.
+        domain: Its failure domain.
+        served: How many entry VMs it passes them on to.
         is_counted: This publisher is the one to count it; of several that
             are asked at a start, one counts.
     """
 
     vm: str
     control: str
+    domain: str
+    served: int
     is_counted: bool
 
 
@@ -50,6 +57,16 @@
     control: str
 
 
+class Referral(msgspec.Struct, frozen=True, tag='referral'):
+    """Tells a subscriber to follow another entry VM, a relay.
+
+    Attributes:
+        control: Address of the relay.
+    """
+
+    control: str
+
+
 class Announcement(msgspec.Struct, frozen=True, tag='announcement'):
     """What a publisher knows.
 
@@ -96,7 +113,7 @@
 
 CatchUp = Snapshot | Delta
 
-Datagram = Subscription | Unsubscription | Announcement
+Datagram = Subscription | Unsubscription | Referral | Announcement
 
 _DATAGRAM_DECODER = msgspec.msgpack.Decoder(Datagram)
 _CATCH_UP_DECODER = msgspec.msgpack.Decoder(CatchUp)
@@ -119,9 +136,11 @@
         PeerError: When it is no message.
     """
     try:
-        return _DATAGRAM_DECODER.decode(_decompress(datagram))
+        message = _DATAGRAM_DECODER.decode(_decompress(datagram))
+        _check_address(message.control)
     except (msgspec.MsgspecError, zlib.error, ValueError) as error:
         raise PeerError('reading a datagram', peer, str(error)) from error
+    return message
 
 
 def decode_catch_up(body: bytes, peer: str) -> CatchUp:
@@ -164,3 +183,14 @@
     if not decompressor.eof:
         raise ValueError('cut short or too large')
     return message
+
+
+def _check_address(control: str) -> None:
+    # Whoever takes the message sends there; a name would be looked up.
+    host, port = socket_address(control)
+    try:
+        socket.inet_aton(host)
+    except OSError as error:
+        raise ValueError(f'no IP number: {host}') from error
+    if not 0 < port <= _PORT_MAX:
+        raise ValueError(f'no port: {port}')
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -4,11 +4,16 @@
 read. A change goes out at once in datagrams. Each of them, and each heartbeat,
 tells which revision it leads to, so that a subscriber notices what it missed
 and fetches that: the changes since, or everything when they are too long ago.
+
+Bytes between failure domains cost the users, and a publisher's link is finite.
+So a publisher serves few entry VMs of each domain, the relays, and refers the
+others to them. A relay passes on what it hears as soon as it hears it.
 """
 
 import asyncio
 import collections
 import itertools
+import zlib
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -22,6 +27,13 @@
 HEARTBEAT_S = 0.5
 # Six heartbeats without a subscription.
 _SUBSCRIBER_SILENT_S = 3.0
+# Entry VMs that lost their relay come back after as long (subscriber).
+_RELAY_SILENT_S = 1.2
+# Two, as one relay may be gone.
+RELAYS_ELSEWHERE = 2
+# A third of the 70 subscribers with which 16 KB a second are reached
+# (docs/CAPACITY.md).
+RELAYS_HERE = 24
 # A datagram of this size is not fragmented on Ethernet.
 _DATAGRAM_BYTES_MAX = 1400
 # Changes that subscribers can still fetch; an entry has some 250 bytes.
@@ -35,11 +47,17 @@
     """What is known of one subscriber.
 
     Attributes:
+        control: Its control address.
+        domain: Its failure domain.
         heard_at: When its latest subscription came.
+        served: How many entry VMs it serves as a relay.
         is_counted: This publisher is the one that counts it.
     """
 
+    control: str
+    domain: str
     heard_at: float
+    served: int
     is_counted: bool
 
 
@@ -51,7 +69,7 @@
         replica: What is announced.
         clock: Monotonic seconds.
         send: Sends a datagram.
-        served_by_others: Counts entry VMs that other publishers serve.
+        count_fleet: Counts the entry VMs, given how many this one serves.
     """
 
     def __init__(
@@ -60,13 +78,13 @@
         replica: StoreReplica,
         clock: Callable[[], float],
         send: SendDatagram,
-        served_by_others: Callable[[], int],
+        count_fleet: Callable[[int], int],
     ) -> None:
         self._settings = settings
         self._replica = replica
         self._clock = clock
         self._send = send
-        self._served_by_others = served_by_others
+        self._count_fleet = count_fleet
         self._subscribers: dict[Address, _Subscriber] = {}
         self._log: collections.deque[WatchEvent] = collections.deque()
         # All changes after this revision are in the log.
@@ -74,8 +92,13 @@
 
     @property
     def served(self) -> int:
-        """Number of subscribers that this VM counts, and itself."""
-        return 1 + sum(one.is_counted for one in self._subscribers.values())
+        """Number of entry VMs that this one counts, itself included."""
+        counted = [one for one in self._subscribers.values() if one.is_counted]
+        silent_at = self._clock() - _RELAY_SILENT_S
+        behind_relays = sum(
+            one.served for one in counted if one.heard_at > silent_at
+        )
+        return 1 + len(counted) + behind_relays
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -85,17 +108,25 @@
             for address, subscriber in list(self._subscribers.items()):
                 if subscriber.heard_at < oldest:
                     self._subscribers.pop(address)
-            self.announce()
+            if self._settings.is_publisher:
+                self.announce()
 
     def subscribed(self, message: peer_messages.Subscription) -> None:
         """Send announcements to an entry VM from now on."""
         address = socket_address(message.control)
         is_new = address not in self._subscribers
-        self._subscribers[address] = _Subscriber(
-            self._clock(), message.is_counted
+        subscriber = _Subscriber(
+            message.control,
+            message.domain,
+            self._clock(),
+            message.served,
+            message.is_counted,
         )
+        self._subscribers[address] = subscriber
         if is_new and self._replica.revision:
             self._send(self._heartbeat(), address)
+        if self._settings.is_publisher and message.is_counted:
+            self._refer(subscriber, address)
 
     def unsubscribed(self, message: peer_messages.Unsubscription) -> None:
         """Send an entry VM no more announcements."""
@@ -146,6 +177,20 @@
             b'application/octet-stream',
         )
 
+    def _refer(self, subscriber: _Subscriber, address: Address) -> None:
+        is_here = subscriber.domain == self._settings.domain
+        limit = RELAYS_HERE if is_here else RELAYS_ELSEWHERE
+        # In the order in which they subscribed, so that relays stay relays.
+        relays = [
+            one.control
+            for one in self._subscribers.values()
+            if one.domain == subscriber.domain and one.is_counted
+        ][:limit]
+        if subscriber.control not in relays:
+            chosen = zlib.crc32(subscriber.control.encode()) % len(relays)
+            referral = peer_messages.Referral(relays[chosen])
+            self._send(peer_messages.encode(referral), address)
+
     def _catch_up(self, after: int) -> peer_messages.CatchUp:
         revision = self._replica.revision
         if self._log and self._logged_after <= after:
@@ -205,7 +250,7 @@
                 revision,
                 self._age_ms(),
                 self.served,
-                self.served + self._served_by_others(),
+                self._count_fleet(self.served),
                 before,
                 items,
             )
--- a/packages/token/src/hibiscushatch_token/status.py
+++ b/packages/token/src/hibiscushatch_token/status.py
@@ -43,6 +43,8 @@
         store_revision: Revision of the store that it has reached.
         store_age_s: Time since that was known to be the newest.
         known_entry_vms: Entry VMs that publishers counted.
+        follows: Control addresses of the entry VMs that tell it of changes.
+        serves: How many entry VMs it tells of changes.
         open_flows: Flows opened here that are not known to have ended.
         evacuated: Failure domains that get no new flows.
         upstreams: All listed upstreams.
@@ -56,6 +58,8 @@
     store_revision: int
     store_age_s: float
     known_entry_vms: int
+    follows: list[str]
+    serves: int
     open_flows: int
     evacuated: list[str]
     upstreams: list[UpstreamStatus]
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -51,7 +51,8 @@
 
     A publisher subscribes to all others. Any other entry VM subscribes to one
     that is up to date, in its own failure domain where there is one, and to
-    all of them as long as it hears none.
+    all of them as long as it hears none. Where a publisher refers it to a
+    relay, it follows that as long as it hears it.
 
     Args:
         settings: Settings of this entry VM.
@@ -59,6 +60,8 @@
         clock: Monotonic seconds.
         send: Sends a datagram.
         changed: Called with the revision before changes and the changes.
+        renewed: Called when a publisher has announced that nothing changed.
+        count_served: Counts the entry VMs that this one serves as a relay.
     """
 
     def __init__(
@@ -68,12 +71,16 @@
         clock: Callable[[], float],
         send: SendDatagram,
         changed: Callable[[int, Changes], None],
+        renewed: Callable[[], None],
+        count_served: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._replica = replica
         self._clock = clock
         self._send = send
         self._changed = changed
+        self._renewed = renewed
+        self._count_served = count_served
         self._sources = {
             one: _Source()
             for one in settings.publishers
@@ -81,7 +88,9 @@
         }
         self._followed: list[str] = []
         self._counted_by = ''
+        self._relay = ''
         self._fleet = 0
+        self._announced_fleet = 0
         self._wanted = asyncio.Event()
         self._snapshot_from = ''
 
@@ -90,6 +99,21 @@
         """The most entry VMs that publishers ever counted; 0 for unknown."""
         return self._fleet
 
+    @property
+    def followed(self) -> list[str]:
+        """Control addresses of those that it has subscribed to."""
+        return self._followed
+
+    def count_fleet(self, served: int) -> int:
+        """Count the entry VMs at present, as a publisher or as one was told.
+
+        Args:
+            served: How many this one counts as a publisher.
+        """
+        if self._settings.is_publisher:
+            return served + self.served_by_others()
+        return self._announced_fleet
+
     def served_by_others(self) -> int:
         """Count the entry VMs that other publishers serve."""
         return sum(
@@ -105,16 +129,14 @@
     def subscribe(self) -> None:
         """Subscribe to whom to follow, and leave whom not to follow more."""
         wanted = self._wanted_sources()
-        name = self._settings.name
-        control = self._settings.control
-        left = [one for one in self._followed if one not in wanted]
-        self._tell(left, peer_messages.Unsubscription(name, control))
+        if wanted != self._followed:
+            self._leave(wanted)
         self._followed = wanted
         self._counted_by = ''
-        is_sure = len(wanted) == 1 and not self._settings.is_publisher
-        if is_sure:
+        if len(wanted) == 1 and not self._settings.is_publisher:
             self._counted_by = wanted[0]
-        self._tell(wanted, peer_messages.Subscription(name, control, is_sure))
+        for one in wanted:
+            self._subscribe_to(one)
 
     async def fetch(self) -> None:
         """Fetch what is missing here of announced changes."""
@@ -125,12 +147,18 @@
 
     def announced(self, message: peer_messages.Announcement) -> None:
         """Take over what a publisher announced."""
+        self._announced_fleet = message.fleet
         self._fleet = max(self._fleet, message.fleet)
         self._note_source(message)
         before = self._replica.revision
         if message.revision < before:
             return
-        if message.revision > before:
+        age_s = message.age_ms / peer_messages.MS_PER_S
+        if message.revision == before:
+            self._replica.prove(age_s)
+            if message.control in self._settings.publishers:
+                self._renewed()
+        else:
             changes = self._replica.merge_changes(
                 message.before,
                 Changes(
@@ -141,8 +169,22 @@
                 self._snapshot_from = message.control
                 self._wanted.set()
                 return
+            self._replica.prove(age_s)
             self._changed(before, changes)
-        self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
+
+    def referred(self, message: peer_messages.Referral) -> None:
+        """Follow a relay once it is heard."""
+        if message.control == self._settings.control:
+            return
+        if message.control != self._relay:
+            self._forget_relay()
+            self._relay = message.control
+            self._sources.setdefault(message.control, _Source())
+        self._subscribe_to(message.control)
+
+    def _forget_relay(self) -> None:
+        if self._relay not in self._settings.publishers:
+            self._sources.pop(self._relay, None)
 
     def _note_source(self, message: peer_messages.Announcement) -> None:
         source = self._sources.get(message.control)
@@ -159,11 +201,7 @@
             return
         if source.is_current:
             self._counted_by = control
-            settings = self._settings
-            subscription = peer_messages.Subscription(
-                settings.name, settings.control, is_counted=True
-            )
-            self._tell([control], subscription)
+            self._subscribe_to(control)
 
     def _wanted_sources(self) -> list[str]:
         if self._settings.is_publisher:
@@ -173,6 +211,8 @@
             for control, source in self._sources.items()
             if source.is_current and self._is_heard(source)
         ]
+        if self._relay in current:
+            return [self._relay]
         near = [
             control
             for control in current
@@ -180,12 +220,38 @@
         ]
         return (near or current)[:1] or list(self._sources)
 
-    def _tell(
-        self, controls: list[str], message: peer_messages.Datagram
-    ) -> None:
-        datagram = peer_messages.encode(message)
-        for control in controls:
-            self._send(datagram, socket_address(control))
+    def _leave(self, wanted: list[str]) -> None:
+        farewell = peer_messages.Unsubscription(
+            self._settings.name, self._settings.control
+        )
+        for one in self._followed:
+            if one not in wanted:
+                self._tell(one, farewell)
+        _log.info(
+            'following',
+            extra={
+                'peers': ','.join(wanted),
+                'replaced': ','.join(self._followed),
+                'relay': self._relay in wanted,
+                'age_s': round(self._replica.age_s, 3),
+            },
+        )
+
+    def _subscribe_to(self, control: str) -> None:
+        settings = self._settings
+        self._tell(
+            control,
+            peer_messages.Subscription(
+                settings.name,
+                settings.control,
+                settings.domain,
+                self._count_served(),
+                is_counted=control == self._counted_by,
+            ),
+        )
+
+    def _tell(self, control: str, message: peer_messages.Datagram) -> None:
+        self._send(peer_messages.encode(message), socket_address(control))
 
     def _is_heard(self, source: _Source) -> bool:
         return self._clock() - source.heard_at < _SOURCE_SILENT_S
@@ -217,8 +283,8 @@
         else:
             changes = self._replica.merge_listing(self._listing_of(message))
         if changes is not None and self._replica.revision == message.revision:
-            self._changed(before, changes)
             self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
+            self._changed(before, changes)
 
     def _listing_of(self, snapshot: peer_messages.Snapshot) -> Listing:
         known = {item.key: item for item in self._replica.items}
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -28,7 +28,7 @@
             self.scene.replica,
             self.scene.clock,
             self._send,
-            lambda: 4,
+            (4).__add__,
         )
 
     def write(self, key: str, value: str | None, revision: int) -> None:
@@ -45,10 +45,13 @@
 
 
 def subscription(
-    control: str, is_counted: bool = True
+    control: str,
+    domain: str = 'here',
+    served: int = 0,
+    is_counted: bool = True,
 ) -> peer_messages.Subscription:
     """Build the subscription of an entry VM."""
-    return peer_messages.Subscription('vm', control, is_counted)
+    return peer_messages.Subscription('vm', control, domain, served, is_counted)
 
 
 class SubscriberScene:
@@ -62,7 +65,10 @@
             self.scene.clock,
             self._send,
             lambda _before, _changes: None,
+            self._renew,
+            int,
         )
+        self.renewed = 0
         self.told: list[tuple[str, peer_messages.Datagram]] = []
 
     def catch_up(self, sender: PublisherScene) -> None:
@@ -75,6 +81,9 @@
         message = peer_messages.decode_datagram(datagram, 'subscriber')
         self.told.append((':'.join(map(str, address)), message))
 
+    def _renew(self) -> None:
+        self.renewed += 1
+
     def wanted(self) -> list[str]:
         """Return the publishers that it subscribes to next."""
         return self.subscriber._wanted_sources()
@@ -277,12 +286,80 @@
     receiver.told.clear()
 
 
+def test_others_of_a_domain_are_referred_to_its_relays() -> None:
+    for domain, relays in (('there', 2), ('here', 24)):
+        sender = PublisherScene()
+        sender.scene.replica.merge_listing(listing(5))
+        referred = set()
+        for index in range(100, 160):
+            sender.sent.clear()
+            control = f'127.0.0.1:{index}'
+            sender.publisher.subscribed(subscription(control, domain))
+            sender.publisher.subscribed(subscription(control, domain))
+            referrals = {
+                one.control
+                for one in sender.sent
+                if isinstance(one, peer_messages.Referral)
+            }
+            assert len(referrals) == (index >= 100 + relays), index
+            referred |= referrals
+        first = {f'127.0.0.1:{100 + one}' for one in range(relays)}
+        assert referred <= first
+        assert len(referred) > 1
+
+
+def test_a_relay_is_followed_as_long_as_it_is_heard() -> None:
+    receiver = SubscriberScene()
+    receiver.scene.replica.merge_listing(listing(5))
+    receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    receiver.subscriber.subscribe()
+    receiver.told.clear()
+    receiver.subscriber.referred(peer_messages.Referral(OTHER))
+    assert [control for control, _ in receiver.told] == [OTHER]
+    assert receiver.wanted() == [FAR]
+    receiver.subscriber.announced(heartbeat(OTHER, 'here', 5))
+    assert receiver.wanted() == [OTHER]
+    receiver.scene.clock.now += 1.3
+    assert set(receiver.wanted()) == {FAR, NEAR, OTHER}
+    receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    assert receiver.wanted() == [FAR]
+
+
+def test_a_relay_passes_on_what_publishers_tell_and_nothing_else() -> None:
+    receiver = SubscriberScene()
+    receiver.scene.replica.merge_listing(listing(5))
+    receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    assert receiver.renewed == 1
+    receiver.subscriber.announced(heartbeat(OTHER, 'here', 5))
+    assert receiver.renewed == 1
+
+
+def test_the_entry_vms_of_a_relay_are_counted() -> None:
+    sender = PublisherScene()
+    sender.publisher.subscribed(subscription(OTHER, served=7))
+    assert sender.publisher.served == 9
+    # They come back to the publisher and would be counted twice.
+    sender.scene.clock.now += 1.3
+    assert sender.publisher.served == 2
+
+
 def test_datagrams_that_make_no_sense_are_errors_with_the_peer() -> None:
     encoded = peer_messages.encode(subscription(NEAR))
     decoded = peer_messages.decode_datagram(encoded, 'peer')
     assert decoded == subscription(NEAR)
+    nowhere = [
+        peer_messages.encode(subscription(control))
+        for control in ('10.0.0.1', 'name:80', '10.0.0.1:70000')
+    ]
     bomb = zlib.compress(bytes(20_000_000))
-    for datagram in (b'', b'{}', encoded[:-1], zlib.compress(b'other'), bomb):
+    for datagram in (
+        b'',
+        b'{}',
+        encoded[:-1],
+        zlib.compress(b'other'),
+        bomb,
+        *nowhere,
+    ):
         try:
             peer_messages.decode_datagram(datagram, 'peer-7')
         except peer_messages.PeerError as error:
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -15,7 +15,12 @@
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import peer_messages
 from hibiscushatch_token.ports import Changes
-from hibiscushatch_token.publisher import HEARTBEAT_S, Publisher
+from hibiscushatch_token.publisher import (
+    HEARTBEAT_S,
+    RELAYS_ELSEWHERE,
+    RELAYS_HERE,
+    Publisher,
+)
 from hibiscushatch_tools import capacity_page
 from hibiscushatch_tools.capacity_fit import Point
 from hibiscushatch_tools.capacity_model import DESIGN, LIMITS, Slope, Verdict
@@ -122,11 +127,11 @@
 def _publisher_slopes() -> Iterator[Slope]:
     yield Slope(
         'heartbeat_bytes',
-        'bytes that a publisher sends in a second',
+        'bytes that a publisher or relay sends in a second',
         'subscribers',
         'hibiscushatch_token.publisher',
         _points(SUBSCRIBER_SIZES, _heartbeat_bytes_s),
-        DESIGN.entry_vms / PUBLISHERS,
+        _most_subscribers(),
     )
     yield Slope(
         'heartbeat_us',
@@ -134,10 +139,18 @@
         'subscribers',
         'hibiscushatch_token.publisher',
         _points(SUBSCRIBER_SIZES, _heartbeat_us_s),
-        DESIGN.entry_vms / PUBLISHERS,
+        _most_subscribers(),
     )
 
 
+def _most_subscribers() -> float:
+    # A publisher's relays, all other domains following one publisher, or a
+    # relay's part of its domain.
+    of_publisher = RELAYS_HERE + (DESIGN.domains - 1) * RELAYS_ELSEWHERE
+    of_relay = DESIGN.entry_vms / DESIGN.domains / RELAYS_ELSEWHERE
+    return max(of_publisher, of_relay)
+
+
 def judge(at_target: dict[str, float]) -> Iterator[Verdict]:
     """Compare figures at the size to design for with their limits.
 
@@ -148,7 +161,7 @@
         A line of the page for each.
     """
     vm = 'entry VM'
-    publisher = 'publisher'
+    publisher = 'publisher or relay'
     flows_ms_s = at_target['open'] * DESIGN.new_flows_a_vm_s / MS_PER_S
     sweeps_ms_s = at_target['sweep'] / SWEEP_S / MS_PER_S
     yield Verdict(
@@ -197,9 +210,6 @@
         'B/s',
         'hibiscushatch_token.publisher',
         LIMITS.control_bytes_s,
-        '55 subscribers, 165 entry VMs',
-        'relays: a publisher tells one entry VM of each domain, which tells '
-        'the others of its domain',
     )
     yield Verdict(
         publisher,
@@ -324,9 +334,14 @@
             node.settings, node.replica, time.monotonic, self._send, int
         )
         for index in range(subscribers):
-            control = f'127.0.0.1:{index + 1}'
             self.publisher.subscribed(
-                peer_messages.Subscription('vm', control, is_counted=True)
+                peer_messages.Subscription(
+                    vm='vm',
+                    control=f'127.0.0.1:{index + 1}',
+                    domain=node.settings.domain,
+                    served=0,
+                    is_counted=True,
+                )
             )
         self.sent_bytes = 0
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_model.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_model.py
@@ -15,6 +15,7 @@
     """The size to design for."""
 
     entry_vms: int = 500
+    domains: int = 6
     upstreams: int = 3700
     services: int = 360
     new_flows_s: int = 55_000
