--- a/packages/core/src/hibiscushatch_core/buckets.py
+++ b/packages/core/src/hibiscushatch_core/buckets.py
@@ -46,7 +46,7 @@
     seen: tuple[Stamp, ...] = ()
 
     @property
-    def at_rest(self) -> bool:
+    def is_stable(self) -> bool:
         """Whether the bucket alone tells where its packets go."""
         return not self.through_owner
 
@@ -75,7 +75,7 @@
         upstream: The upstream assigned.
 
     Returns:
-        A state at rest, older than any change that a VM makes.
+        A stable state, older than any change that a VM makes.
     """
     stamp = Stamp(0, f'generation-{generation:012d}')
     return BucketState(stamp, False, (upstream,), upstream)
--- a/packages/core/src/hibiscushatch_core/move_plan.py
+++ b/packages/core/src/hibiscushatch_core/move_plan.py
@@ -72,13 +72,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MovePace:
-    """How eagerly load is evened.
+    """How eagerly load is rebalanced.
 
     Attributes:
         band: Factor around its quota within which an upstream is left alone.
         domain_band: Factor over its quota up to which an upstream takes
             urgent buckets of its own failure domain.
-        in_motion_max: Buckets that may be in motion for evening.
+        in_motion_max: Buckets that may be in motion for rebalancing.
     """
 
     band: float = 1.1
@@ -141,7 +141,7 @@
         counts=collections.Counter(row.current for row in buckets),
     )
     yield from _plan_urgent(buckets, table, pace)
-    yield from _plan_evening(buckets, table, pace)
+    yield from _plan_rebalancing(buckets, table, pace)
 
 
 def divide_buckets(
@@ -266,7 +266,7 @@
     )
 
 
-def _plan_evening(
+def _plan_rebalancing(
     buckets: Sequence[BucketRow], table: _Table, pace: MovePace
 ) -> Iterator[PlannedMove]:
     if not _is_out_of_band(table, pace):
@@ -275,7 +275,7 @@
     movable = _group_movable(buckets, table)
     for _ in range(pace.in_motion_max - in_motion):
         source = _choose_source(table, movable)
-        target = _choose_evening_target(table, source, pace)
+        target = _choose_rebalancing_target(table, source, pace)
         if not source or not target:
             return
         chosen = _choose_bucket(movable[source], table, target)
@@ -315,7 +315,9 @@
     return -table.lack(name) / max(1, table.quotas[name])
 
 
-def _choose_evening_target(table: _Table, source: str, pace: MovePace) -> str:
+def _choose_rebalancing_target(
+    table: _Table, source: str, pace: MovePace
+) -> str:
     crowded = _find_crowded(table, pace)
     targets = [
         name
--- a/packages/core/tests/move_plan_test.py
+++ b/packages/core/tests/move_plan_test.py
@@ -44,7 +44,7 @@
 
 
 def rows_of(names: list[str], upstreams: list[UpstreamRow]) -> list[BucketRow]:
-    """Make a table at rest."""
+    """Make a stable table."""
     domains = {one.name: one.domain for one in upstreams}
     return [
         BucketRow(bucket, name, base_domain=domains[name])
@@ -82,10 +82,10 @@
     moved = 0
     for _ in range(BUCKETS):
         moves = list(plan_moves(rows, after))
-        evening = [move for move in moves if not move.is_urgent]
-        assert len(evening) <= DEFAULT_PACE.in_motion_max
+        rebalancing = [move for move in moves if not move.is_urgent]
+        assert len(rebalancing) <= DEFAULT_PACE.in_motion_max
         assert all(move.target in eligible for move in moves)
-        moved += len(evening)
+        moved += len(rebalancing)
         rows = carry_out(rows, moves)
         if not moves:
             break
--- a/packages/node/src/hibiscushatch_node/flow_owner.py
+++ b/packages/node/src/hibiscushatch_node/flow_owner.py
@@ -146,7 +146,7 @@
         else:
             return False
         opens = located.headers.tcp_flags & packets.TCP_SYN
-        if self._bucket(located).at_rest and not opens:
+        if self._bucket(located).is_stable and not opens:
             return False
         previous = self._state.ownership.previous_owner(
             located.service.name, located.index, self._state.now()
@@ -194,7 +194,7 @@
     def _is_silent(self, located: LocatedPacket, entry: FlowEntry) -> bool:
         """Tell whether the upstream has lost track of a flow.
 
-        A bucket at rest shows its owner only some packets, so a suspect flow
+        A stable bucket shows its owner only some packets, so a suspect flow
         first has its bucket put in motion, where the owner sees them all.
         """
         if not entry.waiting_since_s:
@@ -202,7 +202,7 @@
         waited_s = self._state.now() - entry.waiting_since_s
         if waited_s <= located.service.silent_timeout_s:
             return False
-        if self._bucket(located).at_rest:
+        if self._bucket(located).is_stable:
             entry.waiting_since_s = 0
             self._mover.inspect(located.service.name, located.index)
             return False
--- a/packages/node/src/hibiscushatch_node/forwarder.py
+++ b/packages/node/src/hibiscushatch_node/forwarder.py
@@ -22,8 +22,8 @@
 from hibiscushatch_node.node_state import NodeState
 from hibiscushatch_node.packet_exit import PacketExit, first_hop
 
-CENSUS_SLOTS = 16
-CENSUS_SLOT_S = 1.0
+SAMPLE_SLOTS = 16
+SAMPLE_SLOT_S = 1.0
 
 _PREVIOUS_OWNER_DIRECTIONS = frozenset(
     (
@@ -132,7 +132,7 @@
     ) -> None:
         located = _locate_caller_packet(packet, headers, service)
         bucket = self._state.table.state(service.name, located.index)
-        explained = bucket.at_rest and not self._passes_owner(located)
+        explained = bucket.is_stable and not self._passes_owner(located)
         if explained and self._exit.to_upstream(
             service, bucket.bases[0], packet
         ):
@@ -153,7 +153,7 @@
             return
         located = _locate_reply(packet, headers, service)
         bucket = self._state.table.state(service.name, located.index)
-        explained = bucket.at_rest and bucket.bases[0] == sender.name
+        explained = bucket.is_stable and bucket.bases[0] == sender.name
         if explained and not self._passes_owner(located):
             self._exit.to_caller(packet)
             return
@@ -161,15 +161,15 @@
         self._pass_to_owner(located, relayed, sender)
 
     def _passes_owner(self, located: LocatedPacket) -> bool:
-        """Tell whether a packet of a bucket at rest passes its owner.
+        """Tell whether a packet of a stable bucket passes its owner.
 
         Control packets always do. Of each flow, the packets of one time slot
-        in CENSUS_SLOTS do, so that the owner knows which flows still live.
+        in SAMPLE_SLOTS do, so that the owner knows which flows still live.
         """
         if located.headers.tcp_flags & packets.TCP_CONTROL:
             return True
-        slot = int(self._state.now() / CENSUS_SLOT_S) % CENSUS_SLOTS
-        return located.key % CENSUS_SLOTS == slot
+        slot = int(self._state.now() / SAMPLE_SLOT_S) % SAMPLE_SLOTS
+        return located.key % SAMPLE_SLOTS == slot
 
     def _pass_to_owner(
         self,
--- a/packages/node/src/hibiscushatch_node/handover.py
+++ b/packages/node/src/hibiscushatch_node/handover.py
@@ -95,7 +95,7 @@
             self._admission.uncount(entry)
 
     def _send_to_backup(self, service: str, index: int) -> None:
-        if self._state.table.state(service, index).at_rest:
+        if self._state.table.state(service, index).is_stable:
             return
         backup = self._state.ownership.owners(service, index).backup
         session = self._peers.session(backup)
--- a/packages/node/src/hibiscushatch_node/mover.py
+++ b/packages/node/src/hibiscushatch_node/mover.py
@@ -27,7 +27,7 @@
 
 PLAN_INTERVAL_S = 2.0
 REPLAN_INTERVAL_S = 20.0
-EVENED_AT_ONCE_DIVISOR = 8
+REBALANCED_AT_ONCE_DIVISOR = 8
 
 
 class BucketPublisher(abc.ABC):
@@ -136,7 +136,7 @@
         known = key in self._motions or key in self._backed_up_since_s
         if not known or not self._state.owns(service, index):
             return 0
-        if self._state.table.state(service, index).at_rest:
+        if self._state.table.state(service, index).is_stable:
             return 0
         return self._state.now() - self._begin_watch(service, index).since_s
 
@@ -271,7 +271,7 @@
             BucketRow(
                 index,
                 bucket.current,
-                in_motion=self._is_evened(bucket),
+                in_motion=self._is_rebalanced(bucket),
                 base_domain=self._state.directory.domain_of(bucket.bases[0]),
             )
             for index, bucket in enumerate(states)
@@ -285,16 +285,16 @@
             )
             for one in service.upstreams
         ]
-        in_motion_max = max(len(buckets) // EVENED_AT_ONCE_DIVISOR, 1)
+        in_motion_max = max(len(buckets) // REBALANCED_AT_ONCE_DIVISOR, 1)
         pace = MovePace(in_motion_max=in_motion_max)
         yield from plan_moves(buckets, upstreams, pace)
 
-    def _is_evened(self, bucket: BucketState) -> bool:
+    def _is_rebalanced(self, bucket: BucketState) -> bool:
         """Tell whether a bucket is in motion to even the load.
 
         One that had to leave its upstream may stay in motion for as long as
-        that upstream's flows live; it does not hold up the evening, nor does
-        it when the upstream has come back since and is still cold.
+        that upstream's flows live; it does not hold up the rebalancing, nor
+        does it when the upstream has come back since and is still cold.
         """
         base = bucket.bases[0]
         if not bucket.through_owner or not self.is_eligible(base):
