--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -29,11 +29,6 @@
 _SUBSCRIBER_SILENT_S = 3.0
 # Entry VMs that lost their relay come back after as long (subscriber).
 _RELAY_SILENT_S = 1.2
-# Two, as one relay may be gone.
-RELAYS_ELSEWHERE = 2
-# A third of the 70 subscribers with which 16 KB a second are reached
-# (docs/CAPACITY.md).
-RELAYS_HERE = 24
 # A datagram of this size is not fragmented on Ethernet.
 _DATAGRAM_BYTES_MAX = 1400
 # Changes that subscribers can still fetch; an entry has some 250 bytes.
@@ -178,8 +173,9 @@
         )
 
     def _refer(self, subscriber: _Subscriber, address: Address) -> None:
+        limits = self._settings.relays
         is_here = subscriber.domain == self._settings.domain
-        limit = RELAYS_HERE if is_here else RELAYS_ELSEWHERE
+        limit = limits.here if is_here else limits.elsewhere
         # In the order in which they subscribed, so that relays stay relays.
         relays = [
             one.control
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -76,6 +76,22 @@
     idle_s: _Seconds = 1.0
 
 
+class RelaySettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """How many entry VMs a publisher tells of changes itself.
+
+    Attributes:
+        here: Relays in its own failure domain: a third of the 70 subscribers
+            with which 16 KB a second are reached (docs/CAPACITY.md).
+        elsewhere: Relays in each other failure domain: two, as one may be
+            gone.
+    """
+
+    here: _Count = 24
+    elsewhere: _Count = 2
+
+
 class TokenNodeSettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -92,6 +108,7 @@
             for the others; those that are away do no harm.
         metrics: HTTP address of the metrics.
         store: The platform's store.
+        relays: How many entry VMs a publisher tells of changes itself.
         placement: How new flows are placed.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time that the fabric takes to notice that the readiness
@@ -111,6 +128,7 @@
     publishers: list[_Address] = []
     metrics: _Address
     store: StoreSettings
+    relays: RelaySettings = RelaySettings()
     placement: PlacementSettings = PlacementSettings()
     stop_grace_s: _Seconds = 6.0
     rotation_s: _Seconds = 1.4
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -232,7 +232,7 @@
             extra={
                 'peers': ','.join(wanted),
                 'replaced': ','.join(self._followed),
-                'relay': self._relay in wanted,
+                'relay': wanted == [self._relay],
                 'age_s': round(self._replica.age_s, 3),
             },
         )
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -15,12 +15,8 @@
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import peer_messages
 from hibiscushatch_token.ports import Changes
-from hibiscushatch_token.publisher import (
-    HEARTBEAT_S,
-    RELAYS_ELSEWHERE,
-    RELAYS_HERE,
-    Publisher,
-)
+from hibiscushatch_token.publisher import HEARTBEAT_S, Publisher
+from hibiscushatch_token.settings import RelaySettings
 from hibiscushatch_tools import capacity_page
 from hibiscushatch_tools.capacity_fit import Point
 from hibiscushatch_tools.capacity_model import DESIGN, LIMITS, Slope, Verdict
@@ -146,8 +142,9 @@
 def _most_subscribers() -> float:
     # A publisher's relays, all other domains following one publisher, or a
     # relay's part of its domain.
-    of_publisher = RELAYS_HERE + (DESIGN.domains - 1) * RELAYS_ELSEWHERE
-    of_relay = DESIGN.entry_vms / DESIGN.domains / RELAYS_ELSEWHERE
+    relays = RelaySettings()
+    of_publisher = relays.here + (DESIGN.domains - 1) * relays.elsewhere
+    of_relay = DESIGN.entry_vms / DESIGN.domains / relays.elsewhere
     return max(of_publisher, of_relay)
 
 
