--- a/packages/tools/tests/operations_page_test.py
+++ b/packages/tools/tests/operations_page_test.py
@@ -59,6 +59,7 @@
         settings.TokenNodeSettings,
         settings.StoreSettings,
         settings.PlacementSettings,
+        settings.RelaySettings,
         status.Status,
     ):
         yield from model.__struct_fields__
@@ -69,7 +70,21 @@
 
 
 def _token_metrics() -> frozenset[str]:
-    report = status.Status('', '', True, False, 1, 1, 0, 1, 1, [], [])
+    report = status.Status(
+        vm='',
+        domain='',
+        ready=True,
+        cut_off=False,
+        config_version=1,
+        store_revision=1,
+        store_age_s=0,
+        known_entry_vms=1,
+        follows=[],
+        serves=0,
+        open_flows=1,
+        evacuated=[],
+        upstreams=[],
+    )
     response = TokenMetrics().respond(Counters(), report)
     text = response.body.decode()
     return frozenset(re.findall(r'^# TYPE (\w+)', text, re.MULTILINE))
