Ignore referrals to a publisher

Cause: found by reading. A stray referral made a publisher count the entry VMs of a relay as another publisher's. Test: publisher_test.test_a_publisher_follows_all_others (failed before).

--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -173,8 +173,9 @@
             self._changed(before, changes)
 
     def referred(self, message: peer_messages.Referral) -> None:
-        """Follow a relay once it is heard."""
-        if message.control == self._settings.control:
+        """Follow a relay once it is heard; publishers follow each other."""
+        settings = self._settings
+        if settings.is_publisher or message.control == settings.control:
             return
         if message.control != self._relay:
             self._forget_relay()
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -240,6 +240,8 @@
 def test_a_publisher_follows_all_others() -> None:
     receiver = SubscriberScene(control=NEAR)
     receiver.subscriber.announced(heartbeat(FAR, 'there', 5))
+    receiver.subscriber.referred(peer_messages.Referral(OTHER))
+    receiver.subscriber.announced(heartbeat(OTHER, 'here', 5))
     assert receiver.wanted() == [FAR]
     assert receiver.subscriber.served_by_others() == 3
 
