Say once what several places worked out

Found by reading the change whole; behaviour stays. - How long a silent publisher or relay is heard: two constants of 1.2 s, one now. - Whether to pass on an announcement was decided half in the subscriber and half in the daemon; now in the subscriber. - The size of the fleet took a count that only publishers use, worked out each time on the path of late flows; it is asked for where it is used. - The upstreams that a flow has tried were put together in three places. - A pass over late flows asked again for a service that had no room. Placing flows only takes room, so the answer is kept for the pass. - Two log lines of a dropped packet share what they have alike; one status code and one unused return value are gone. No assertion changed.

--- a/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
+++ b/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
@@ -9,12 +9,11 @@
 
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_ops import console, session
-from hibiscushatch_token.http1 import ClientConnection
+from hibiscushatch_token.http1 import OK, ClientConnection
 from hibiscushatch_token.settings import socket_address
 from hibiscushatch_token.status import STATUS_PATH, Status, UpstreamStatus
 
 _TIMEOUT_S = 3.0
-_OK = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +65,7 @@
         response = await connection.call(
             'GET', STATUS_PATH.decode(), b'', _TIMEOUT_S
         )
-        if response.status != _OK:
+        if response.status != OK:
             reason = f'status {response.status}'
             return PeerError('read status', address, reason)
         return msgspec.json.decode(response.body, type=Status)
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -211,16 +211,13 @@
     @property
     def fleet(self) -> int:
         """Number of entry VMs as far as it is known; 0 when it is not."""
-        present = self.subscriber.count_fleet(self.publisher.served)
-        return max(self.subscriber.fleet, present)
+        return max(self.subscriber.fleet, self.subscriber.count_fleet())
 
     def _changed(self, before: int, changes: Changes) -> None:
         self.publisher.changed(before, changes)
 
     def _renewed(self) -> None:
-        # A publisher's own heartbeats tell more.
-        if not self._settings.is_publisher:
-            self.publisher.announce()
+        self.publisher.announce()
 
     def _count_served(self) -> int:
         return self.publisher.served - 1
--- a/packages/token/src/hibiscushatch_token/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/flow_opener.py
@@ -214,13 +214,12 @@
         record.is_retried = False
         self._note_unanswered(record, now)
         self._counters.retries[RetryReason.CONNECT_UNANSWERED] += 1
-        tried = (*record.tried, record.upstream.name)
-        self._place(packet, service, tried, now)
+        self._place(packet, service, record.tried_by_now, now)
 
     def _place_elsewhere(self, record: FlowRecord, now: float) -> bool:
         if record.is_retried or not self._budget.take(now):
             return False
-        tried = (*record.tried, record.upstream.name)
+        tried = record.tried_by_now
         route = self._routing.route_of(record.opening.endpoint)
         if route is None:
             return False
--- a/packages/token/src/hibiscushatch_token/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/flow_table.py
@@ -54,6 +54,11 @@
         self.is_failed = False
         self.tried: tuple[str, ...] = ()
 
+    @property
+    def tried_by_now(self) -> tuple[str, ...]:
+        """Names of upstreams that did not answer, and of the present one."""
+        return (*self.tried, self.upstream.name)
+
 
 class FlowTable:
     """Flows by their addresses and ports, and counts by upstream."""
@@ -77,21 +82,20 @@
 
     def place(
         self, opening: FlowPacket, upstream: Upstream, now: float
-    ) -> FlowRecord:
+    ) -> None:
         """Add a flow, or move an unanswered one to another upstream."""
         record = self._flows.get(opening.flow)
         if record is None:
             record = FlowRecord(opening, upstream, now)
             self._flows[opening.flow] = record
         else:
-            record.tried += (record.upstream.name,)
+            record.tried = record.tried_by_now
             self._move(record, upstream)
             record.placed_at = now
             record.is_failed = False
         self._count(record)
         self._unanswered.pop(opening.flow, None)
         self._unanswered[opening.flow] = record
-        return record
 
     def answer(self, record: FlowRecord, upstream: Upstream) -> None:
         """Note which upstream answered, maybe an earlier one."""
--- a/packages/token/src/hibiscushatch_token/late_flows.py
+++ b/packages/token/src/hibiscushatch_token/late_flows.py
@@ -85,14 +85,18 @@
 
         Args:
             has_room: Tells whether a service has room; asked again after
-                each flow that is yielded.
+                each flow that is yielded, until there is none.
         """
         now = self._clock()
+        full: set[str] = set()
         ordered = sorted(self._waiting.values(), key=lambda late: late.priority)
         for late in ordered:
-            if late.expires_at <= now or has_room(late.service):
+            is_due = late.expires_at <= now
+            if is_due or (late.service not in full and has_room(late.service)):
                 self._waiting.pop(late.packet.flow)
                 yield late
+            else:
+                full.add(late.service)
 
 
 def is_late(packet: FlowPacket, route: Route) -> bool:
--- a/packages/token/src/hibiscushatch_token/packet_exit.py
+++ b/packages/token/src/hibiscushatch_token/packet_exit.py
@@ -68,26 +68,20 @@
 
     def drop(self, packet: FlowPacket, reason: DropReason) -> None:
         """Leave a packet unanswered."""
-        self._counters.drops[reason] += 1
-        _log.info(
-            'packet dropped',
-            extra={
-                'flow': self._codec.describe(packet.flow),
-                'reason': reason.value,
-                'token': packet.token,
-            },
-        )
+        self._note_dropped(packet, reason, {'token': packet.token})
 
     def _note_failed(
         self, packet: FlowPacket, target: str, error: OSError
     ) -> None:
-        self._counters.drops[DropReason.SEND_FAILED] += 1
+        cause = {'target': target, 'error': str(error)}
+        self._note_dropped(packet, DropReason.SEND_FAILED, cause)
+
+    def _note_dropped(
+        self, packet: FlowPacket, reason: DropReason, cause: dict[str, object]
+    ) -> None:
+        self._counters.drops[reason] += 1
+        flow = self._codec.describe(packet.flow)
         _log.info(
             'packet dropped',
-            extra={
-                'flow': self._codec.describe(packet.flow),
-                'reason': DropReason.SEND_FAILED.value,
-                'target': target,
-                'error': str(error),
-            },
+            extra={'flow': flow, 'reason': reason.value, **cause},
         )
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/publisher.py
@@ -27,8 +27,8 @@
 HEARTBEAT_S = 0.5
 # Six heartbeats without a subscription.
 _SUBSCRIBER_SILENT_S = 3.0
-# Entry VMs that lost their relay come back after as long (subscriber).
-_RELAY_SILENT_S = 1.2
+# Two heartbeats and some delay.
+SILENT_S = 1.2
 # A datagram of this size is not fragmented on Ethernet.
 _DATAGRAM_BYTES_MAX = 1400
 # Changes that subscribers can still fetch; an entry has some 250 bytes.
@@ -64,7 +64,7 @@
         replica: What is announced.
         clock: Monotonic seconds.
         send: Sends a datagram.
-        count_fleet: Counts the entry VMs, given how many this one serves.
+        count_fleet: Counts the entry VMs.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         replica: StoreReplica,
         clock: Callable[[], float],
         send: SendDatagram,
-        count_fleet: Callable[[int], int],
+        count_fleet: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._replica = replica
@@ -89,7 +89,8 @@
     def served(self) -> int:
         """Number of entry VMs that this one counts, itself included."""
         counted = [one for one in self._subscribers.values() if one.is_counted]
-        silent_at = self._clock() - _RELAY_SILENT_S
+        # Entry VMs that lost their relay come back after as long.
+        silent_at = self._clock() - SILENT_S
         behind_relays = sum(
             one.served for one in counted if one.heard_at > silent_at
         )
@@ -246,7 +247,7 @@
                 revision,
                 self._age_ms(),
                 self.served,
-                self._count_fleet(self.served),
+                self._count_fleet(),
                 before,
                 items,
             )
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/subscriber.py
@@ -15,15 +15,13 @@
 from hibiscushatch_token import peer_messages
 from hibiscushatch_token.http1 import ClientConnection
 from hibiscushatch_token.ports import Changes, Listing
-from hibiscushatch_token.publisher import SendDatagram
+from hibiscushatch_token.publisher import SILENT_S, SendDatagram
 from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 SNAPSHOT_PATH = '/v1/snapshot'
 _SUBSCRIBE_S = 0.5
 _SNAPSHOT_TIMEOUT_S = 1.0
-# Two heartbeats of a publisher and some delay.
-_SOURCE_SILENT_S = 1.2
 # A publisher's watch ends at least every 1.5 s.
 _CURRENT_MS = 1800
 
@@ -60,8 +58,9 @@
         clock: Monotonic seconds.
         send: Sends a datagram.
         changed: Called with the revision before changes and the changes.
-        renewed: Called when a publisher has announced that nothing changed.
-        count_served: Counts the entry VMs that this one serves as a relay.
+        renewed: Called when a publisher has announced to this one, which is
+            none, that nothing changed.
+        count_served: Counts the entry VMs that this one tells of changes.
     """
 
     def __init__(
@@ -104,14 +103,10 @@
         """Control addresses of those that it has subscribed to."""
         return self._followed
 
-    def count_fleet(self, served: int) -> int:
-        """Count the entry VMs at present, as a publisher or as one was told.
-
-        Args:
-            served: How many this one counts as a publisher.
-        """
+    def count_fleet(self) -> int:
+        """Count the entry VMs at present, as a publisher or as one was told."""
         if self._settings.is_publisher:
-            return served + self.served_by_others()
+            return 1 + self._count_served() + self.served_by_others()
         return self._announced_fleet
 
     def served_by_others(self) -> int:
@@ -156,7 +151,7 @@
         age_s = message.age_ms / peer_messages.MS_PER_S
         if message.revision == before:
             self._replica.prove(age_s)
-            if message.control in self._settings.publishers:
+            if self._is_to_pass_on(message):
                 self._renewed()
         else:
             changes = self._replica.merge_changes(
@@ -183,6 +178,12 @@
             self._sources.setdefault(message.control, _Source())
         self._subscribe_to(message.control)
 
+    def _is_to_pass_on(self, message: peer_messages.Announcement) -> bool:
+        # A publisher's own heartbeats tell more than those of others.
+        settings = self._settings
+        is_relay = not settings.is_publisher
+        return is_relay and message.control in settings.publishers
+
     def _forget_relay(self) -> None:
         if self._relay not in self._settings.publishers:
             self._sources.pop(self._relay, None)
@@ -255,7 +256,7 @@
         self._send(peer_messages.encode(message), socket_address(control))
 
     def _is_heard(self, source: _Source) -> bool:
-        return self._clock() - source.heard_at < _SOURCE_SILENT_S
+        return self._clock() - source.heard_at < SILENT_S
 
     async def _fetch_from(self, peer: str) -> None:
         before = self._replica.revision
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -28,7 +28,7 @@
             self.scene.replica,
             self.scene.clock,
             self._send,
-            (4).__add__,
+            self._count_fleet,
         )
 
     def write(self, key: str, value: str | None, revision: int) -> None:
@@ -40,6 +40,9 @@
         self.scene.replica.prove(0)
         self.publisher.changed(before, merged)
 
+    def _count_fleet(self) -> int:
+        return self.publisher.served + 4
+
     def _send(self, datagram: bytes, _address: tuple[str, int]) -> None:
         self.sent.append(peer_messages.decode_datagram(datagram, 'publisher'))
 
