Sort the token package into traffic, health and knowledge

The package was a flat list of 24 modules, and its constructors took up to ten arguments, silenced with noqa. The packet path was wired in three places: the daemon, the capacity node and the test fixtures.

- Folders: traffic (packet to upstream), health (verdicts), knowledge (store, replica, peers).
- Environment and KnownState hold what most parts share, so no constructor has more than seven arguments and the three exemptions are gone.
- UpstreamVerdicts joins the observers of health; the partition detector asks it, not the placement.

--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams serve, judged from the packets of callers."""
--- a/packages/token/src/hibiscushatch_token/partition.py
+++ b/packages/token/src/hibiscushatch_token/health/partition.py
@@ -12,7 +12,7 @@
 import logging
 from collections.abc import Callable
 
-from hibiscushatch_token.placement import Placement
+from hibiscushatch_token.health.upstream_verdicts import UpstreamVerdicts
 from hibiscushatch_token.ports import Store
 
 # Short against the half second between readiness checks.
@@ -32,18 +32,18 @@
 
     Args:
         store: Asked whether it answers.
-        placement: Tells when no upstream of a flow was known to answer.
+        verdicts: Tells when no upstream of a flow was known to answer.
         clock: Monotonic seconds.
     """
 
     def __init__(
         self,
         store: Store,
-        placement: Placement,
+        verdicts: UpstreamVerdicts,
         clock: Callable[[], float],
     ) -> None:
         self._store = store
-        self._placement = placement
+        self._verdicts = verdicts
         self._clock = clock
         self._is_cut_off = False
         self._is_asking = False
@@ -71,7 +71,7 @@
                 await asyncio.sleep(_CHECK_S)
 
     def _has_sign(self) -> bool:
-        seen_at = self._placement.unreachable_at
+        seen_at = self._verdicts.unreachable_at
         return seen_at is not None and self._clock() - seen_at < _SIGN_FRESH_S
 
     def _note(self, is_answered: bool) -> None:
@@ -81,6 +81,6 @@
                 'cut off' if self._is_cut_off else 'cut has ended',
                 extra={
                     'store_answers': is_answered,
-                    'unreachable_at': self._placement.unreachable_at,
+                    'unreachable_at': self._verdicts.unreachable_at,
                 },
             )
--- a/packages/token/src/hibiscushatch_token/request_watch.py
+++ b/packages/token/src/hibiscushatch_token/health/request_watch.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
+from hibiscushatch_token.health.response_times import ResponseTimes
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.ports import FlowPacket
-from hibiscushatch_token.response_times import ResponseTimes
 
 # Callers give up before that, or the flow went on at another entry VM.
 _FORGET_S = 10.0
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/health/upstream_verdicts.py
@@ -0,0 +1,88 @@
+"""What is known of the health of upstreams, in one place for placement.
+
+Upstreams that do not answer are left out except for single flows that try
+them again; upstreams that answered late or slowly are the last choice.
+"""
+
+from collections.abc import Callable, Iterator
+
+from hibiscushatch_core.upstream_health import Verdict
+from hibiscushatch_token.health.reachability import Reachability
+from hibiscushatch_token.health.response_times import ResponseTimes
+from hibiscushatch_token.model import Upstream
+from hibiscushatch_token.settings import PlacementSettings
+
+
+class UpstreamVerdicts:
+    """Joins the verdicts of all observers.
+
+    Args:
+        settings: What doubts cost.
+        reachability: Which upstreams accept flows.
+        times: Which upstreams answer slowly.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        reachability: Reachability,
+        times: ResponseTimes,
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._reachability = reachability
+        self._times = times
+        self._clock = clock
+        self._unreachable_at: float | None = None
+
+    @property
+    def unreachable_at(self) -> float | None:
+        """When last no upstream of a route was known to answer."""
+        return self._unreachable_at
+
+    def note_unreachable(self) -> None:
+        """Note that no upstream of a route is known to answer."""
+        self._unreachable_at = self._clock()
+
+    def without_dead(self, candidates: list[Upstream]) -> list[Upstream]:
+        """Leave out the upstreams that do not answer."""
+        if not self._reachability.has_dead:
+            return candidates
+        return [one for one in candidates if not self._is_dead(one)]
+
+    def take_due_probe(self, candidates: list[Upstream]) -> Upstream | None:
+        """Choose a dead upstream that a single flow should try again."""
+        now = self._clock()
+        for upstream in candidates:
+            is_dead = self._is_dead(upstream)
+            if is_dead and self._reachability.may_probe(upstream, now):
+                self._reachability.probe_started(upstream, now)
+                return upstream
+        return None
+
+    def penalties(
+        self, candidates: list[Upstream]
+    ) -> Iterator[tuple[str, float]]:
+        """Yield names of upstreams and what they cost, in flows per slot."""
+        limits = self._settings
+        for name in self._reachability.doubtful_names(self._clock()):
+            yield name, limits.doubt_cost
+        for name in self._times.slow_among(candidates):
+            yield name, limits.slow_cost
+
+    def verdict(self, upstream: Upstream) -> Verdict:
+        """Tell whether an upstream accepts flows from here."""
+        return self._reachability.verdict(upstream)
+
+    def is_slow(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream answered slowly a moment ago."""
+        return self._times.is_slow(upstream)
+
+    def forget(self, upstream: Upstream) -> None:
+        """Drop what is known of an upstream that is gone or began anew."""
+        self._reachability.forget(upstream)
+        self._times.forget(upstream)
+
+    def _is_dead(self, upstream: Upstream) -> bool:
+        return self._reachability.verdict(upstream) is Verdict.DEAD
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/knowledge/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and upstreams: read from the store, passed on by peers."""
--- a/packages/token/src/hibiscushatch_token/peer_socket.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/peer_socket.py
@@ -8,8 +8,8 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.reasons import DropReason
-from hibiscushatch_token import peer_messages
-from hibiscushatch_token.publisher import Address
+from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.publisher import Address
 
 _log = logging.getLogger(__name__)
 
--- a/packages/token/src/hibiscushatch_token/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -19,9 +19,10 @@
 import msgspec
 
 from hibiscushatch_core.ports import WatchEvent
-from hibiscushatch_token import http1, peer_messages
+from hibiscushatch_token import http1
+from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Changes
-from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 HEARTBEAT_S = 0.5
--- a/packages/token/src/hibiscushatch_token/replica.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replica.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from hibiscushatch_core.ports import StoredValue, WatchEvent
-from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.ports import Changes, Documents, Listing
 
 _log = logging.getLogger(__name__)
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -0,0 +1,96 @@
+"""Puts together what keeps this entry VM's knowledge up to date."""
+
+from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_token import http1
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.known_state import KnownState
+from hibiscushatch_token.knowledge.peer_socket import PeerSocket
+from hibiscushatch_token.knowledge.publisher import Publisher
+from hibiscushatch_token.knowledge.replica import StoreReplica
+from hibiscushatch_token.knowledge.store_reader import StoreReader
+from hibiscushatch_token.knowledge.subscriber import SNAPSHOT_PATH, Subscriber
+from hibiscushatch_token.ports import Changes, Documents, Store
+from hibiscushatch_token.settings import TokenNodeSettings, socket_address
+
+
+class Replication:
+    """What keeps the replica of the store up to date, here and at peers.
+
+    Args:
+        settings: Settings of this entry VM.
+        store: The platform's store.
+        documents: Reads what lies in the store.
+        known: Told what is new.
+        environment: Counters, clock and randomness.
+    """
+
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        store: Store,
+        documents: Documents,
+        known: KnownState,
+        environment: Environment,
+    ) -> None:
+        clock = environment.clock
+        counters = environment.counters
+        control = socket_address(settings.control)
+        self._settings = settings
+        udp_socket = open_udp_socket(control)
+        peers = PeerSocket(udp_socket, counters)
+        self.receiver = UdpReceiver(udp_socket, peers.handle, counters)
+        self.replica = StoreReplica(
+            documents,
+            known.routing,
+            known.registry,
+            clock,
+            settings.store.lapse_grace_s,
+            settings.store.outage_s,
+        )
+        self.subscriber = Subscriber(
+            settings,
+            self.replica,
+            clock,
+            peers.send,
+            self._changed,
+            self._renewed,
+            self._count_served,
+        )
+        self.publisher = Publisher(
+            settings,
+            self.replica,
+            clock,
+            peers.send,
+            self.subscriber.count_fleet,
+        )
+        peers.connect(peer_messages.Subscription, self.publisher.subscribed)
+        peers.connect(peer_messages.Unsubscription, self.publisher.unsubscribed)
+        peers.connect(peer_messages.Referral, self.subscriber.referred)
+        peers.connect(peer_messages.Announcement, self.subscriber.announced)
+        self.reader = StoreReader(
+            settings.store,
+            store,
+            self.replica,
+            counters,
+            environment.randomness,
+            settings.is_publisher,
+            self._changed,
+        )
+        self.server = http1.Server(
+            control, {SNAPSHOT_PATH.encode(): self.publisher.snapshot}
+        )
+
+    @property
+    def fleet(self) -> int:
+        """Number of entry VMs as far as it is known; 0 when it is not."""
+        return max(self.subscriber.fleet, self.subscriber.count_fleet())
+
+    def _changed(self, before: int, changes: Changes) -> None:
+        self.publisher.changed(before, changes)
+
+    def _renewed(self) -> None:
+        self.publisher.announce()
+
+    def _count_served(self) -> int:
+        return self.publisher.served - 1
--- a/packages/token/src/hibiscushatch_token/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -14,8 +14,8 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import PlatformError
 from hibiscushatch_core.reasons import RetryReason
+from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Changes, HistoryLostError, Store
-from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import StoreSettings
 
 _RETRY_GROWTH = 2.0
--- a/packages/token/src/hibiscushatch_token/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
@@ -12,11 +12,11 @@
 
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.ports import StoredValue
-from hibiscushatch_token import peer_messages
 from hibiscushatch_token.http1 import ClientConnection
+from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.publisher import SILENT_S, SendDatagram
+from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Changes, Listing
-from hibiscushatch_token.publisher import SILENT_S, SendDatagram
-from hibiscushatch_token.replica import StoreReplica
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 SNAPSHOT_PATH = '/v1/snapshot'
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""From a packet of a caller to an upstream."""
--- a/packages/token/src/hibiscushatch_token/cold_allowance.py
+++ b/packages/token/src/hibiscushatch_token/traffic/cold_allowance.py
@@ -6,10 +6,8 @@
 spreads the flows of parts far below one a second over the fleet.
 """
 
-import random
-from collections.abc import Callable
-
-from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Upstream
 
 _BUCKET_FLOWS = 1.0
@@ -19,26 +17,16 @@
     """The part of this entry VM in the allowances of cold upstreams.
 
     Args:
-        registry: Tells which upstreams are cold.
-        routing: Tells the allowance of a service.
-        fleet: Counts the entry VMs; 0 when that is not known.
-        clock: Monotonic seconds.
-        randomness: Draws first levels.
+        environment: Clock, and randomness that draws first levels.
+        known: Which upstreams are cold, and the allowance of a service.
     """
 
-    def __init__(
-        self,
-        registry: Registry,
-        routing: Routing,
-        fleet: Callable[[], int],
-        clock: Callable[[], float],
-        randomness: random.Random,
-    ) -> None:
-        self._registry = registry
-        self._routing = routing
-        self._fleet = fleet
-        self._clock = clock
-        self._randomness = randomness
+    def __init__(self, environment: Environment, known: KnownState) -> None:
+        self._registry = known.registry
+        self._routing = known.routing
+        self._fleet = known.count_fleet
+        self._clock = environment.clock
+        self._randomness = environment.randomness
         self._levels: dict[str, tuple[float, float]] = {}
 
     def is_stated(self, service: str) -> bool:
--- a/packages/token/src/hibiscushatch_token/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -9,20 +9,19 @@
 """
 
 import logging
-from collections.abc import Callable
 
-from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.reasons import RefusalReason, RetryReason
 from hibiscushatch_core.retry_budget import RetryBudget, RetryBudgetSettings
-from hibiscushatch_token.flow_table import FlowRecord, FlowTable
-from hibiscushatch_token.knowledge import Registry, Routing
-from hibiscushatch_token.late_flows import LateFlows, is_late
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.health.reachability import Reachability
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Route, Upstream
-from hibiscushatch_token.packet_exit import PacketExit
-from hibiscushatch_token.placement import Placement
-from hibiscushatch_token.ports import FlowPacket, PacketCodec
-from hibiscushatch_token.reachability import Reachability
+from hibiscushatch_token.ports import FlowPacket
 from hibiscushatch_token.settings import PlacementSettings
+from hibiscushatch_token.traffic.flow_table import FlowRecord, FlowTable
+from hibiscushatch_token.traffic.late_flows import LateFlows, is_late
+from hibiscushatch_token.traffic.packet_exit import PacketExit
+from hibiscushatch_token.traffic.placement import Placement
 
 # Repeated opening packets are small; a domain that is cut off costs some tens
 # of them until it is judged dead.
@@ -42,43 +41,37 @@
 
     Args:
         settings: When an answer is missing.
-        codec: Names flows in log lines.
-        routing: Routes in force.
-        registry: Tells its revision for log lines.
+        environment: Codec, counters and clock.
+        known: Routes in force.
         flows: Flows opened here.
         placement: Chooses upstreams.
         reachability: Told what becomes of opening packets.
         packet_exit: Where packets leave.
-        counters: Counts of this process.
-        clock: Monotonic seconds.
     """
 
-    def __init__(  # noqa: WPS211
+    def __init__(
         self,
         settings: PlacementSettings,
-        codec: PacketCodec,
-        routing: Routing,
-        registry: Registry,
+        environment: Environment,
+        known: KnownState,
         flows: FlowTable,
         placement: Placement,
         reachability: Reachability,
         packet_exit: PacketExit,
-        counters: Counters,
-        clock: Callable[[], float],
     ) -> None:
         self._limits = settings
-        self._codec = codec
-        self._routing = routing
-        self._registry = registry
+        self._codec = environment.codec
+        self._routing = known.routing
+        self._registry = known.registry
         self._flows = flows
         self._placement = placement
         self._reachability = reachability
         self._exit = packet_exit
-        self._counters = counters
-        self._clock = clock
-        self._budget = RetryBudget(_RETRY_BUDGET, clock())
+        self._counters = environment.counters
+        self._clock = environment.clock
+        self._budget = RetryBudget(_RETRY_BUDGET, self._clock())
         self._usual_answer_s = 0.0
-        self._late = LateFlows(clock)
+        self._late = LateFlows(self._clock)
 
     def open(self, packet: FlowPacket) -> None:
         """Place a flow at its opening packet or a copy of it."""
--- a/packages/token/src/hibiscushatch_token/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/traffic/forwarder.py
@@ -4,52 +4,46 @@
 later packet goes where its token says.
 """
 
-from collections.abc import Callable
-
-from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.reasons import DropReason
-from hibiscushatch_token.flow_opener import FlowOpener
-from hibiscushatch_token.flow_table import FlowRecord, FlowTable
-from hibiscushatch_token.knowledge import Registry
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.health.request_watch import RequestWatch
+from hibiscushatch_token.knowledge.registry import Registry
 from hibiscushatch_token.model import Upstream
-from hibiscushatch_token.packet_exit import PacketExit
-from hibiscushatch_token.ports import FlowObserver, FlowPacket, PacketCodec
-from hibiscushatch_token.request_watch import RequestWatch
+from hibiscushatch_token.ports import FlowObserver, FlowPacket
+from hibiscushatch_token.traffic.flow_opener import FlowOpener
+from hibiscushatch_token.traffic.flow_table import FlowRecord, FlowTable
+from hibiscushatch_token.traffic.packet_exit import PacketExit
 
 
 class Forwarder:
     """Forwards packets of callers to upstreams.
 
     Args:
-        codec: The format of packets.
+        environment: Codec, counters and clock.
         registry: Upstreams by token.
         flows: Flows opened here.
         opener: Opens flows.
         requests: Takes the times of requests.
         packet_exit: Where packets leave.
-        counters: Counts of this process.
-        clock: Monotonic seconds.
     """
 
-    def __init__(  # noqa: WPS211
+    def __init__(
         self,
-        codec: PacketCodec,
+        environment: Environment,
         registry: Registry,
         flows: FlowTable,
         opener: FlowOpener,
         requests: RequestWatch,
         packet_exit: PacketExit,
-        counters: Counters,
-        clock: Callable[[], float],
     ) -> None:
-        self._codec = codec
+        self._codec = environment.codec
         self._registry = registry
         self._flows = flows
         self._opener = opener
         self._requests = requests
         self._exit = packet_exit
-        self._counters = counters
-        self._clock = clock
+        self._counters = environment.counters
+        self._clock = environment.clock
         self._observer: FlowObserver | None = None
 
     @property
--- /dev/null
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -0,0 +1,97 @@
+"""Puts together what carries the packets of callers."""
+
+from collections.abc import Callable, Iterator
+
+from hibiscushatch_token import status
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.health.reachability import Reachability
+from hibiscushatch_token.health.request_watch import RequestWatch
+from hibiscushatch_token.health.response_times import ResponseTimes
+from hibiscushatch_token.health.upstream_verdicts import UpstreamVerdicts
+from hibiscushatch_token.knowledge.known_state import KnownState
+from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.knowledge.routing import Routing
+from hibiscushatch_token.model import Upstream
+from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
+from hibiscushatch_token.traffic.flow_opener import FlowOpener
+from hibiscushatch_token.traffic.flow_table import FlowTable
+from hibiscushatch_token.traffic.forwarder import Forwarder
+from hibiscushatch_token.traffic.packet_exit import PacketExit, SendDatagram
+from hibiscushatch_token.traffic.placement import Placement
+
+
+class PacketPath:
+    """Tables and decisions of one entry VM, without sockets.
+
+    Args:
+        settings: Settings of this entry VM.
+        environment: Codec, counters, clock and randomness.
+        send: Sends a datagram; raises OSError.
+        count_fleet: Counts the entry VMs; 0 when that is not known.
+    """
+
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        environment: Environment,
+        send: SendDatagram,
+        count_fleet: Callable[[], int],
+    ) -> None:
+        clock = environment.clock
+        registry = Registry(clock, settings.flow_age_max_s, self._forget)
+        self.known = KnownState(Routing(), registry, count_fleet)
+        self.flows = FlowTable()
+        self.reachability = Reachability(environment.randomness)
+        self.times = ResponseTimes(clock)
+        self.requests = RequestWatch(self.times, clock)
+        self.verdicts = UpstreamVerdicts(
+            settings.placement, self.reachability, self.times, clock
+        )
+        self._allowance = ColdAllowance(environment, self.known)
+        self.placement = Placement(
+            settings,
+            environment,
+            self.known,
+            self.flows,
+            self.verdicts,
+            self._allowance,
+        )
+        packet_exit = PacketExit(environment.codec, environment.counters, send)
+        self.opener = FlowOpener(
+            settings.placement,
+            environment,
+            self.known,
+            self.flows,
+            self.placement,
+            self.reachability,
+            packet_exit,
+        )
+        self.forwarder = Forwarder(
+            environment,
+            registry,
+            self.flows,
+            self.opener,
+            self.requests,
+            packet_exit,
+        )
+
+    def upstreams(self) -> Iterator[status.UpstreamStatus]:
+        """Yield the state of each listed upstream."""
+        registry = self.known.registry
+        for upstream in registry.listed():
+            yield status.UpstreamStatus(
+                name=upstream.name,
+                service=upstream.service,
+                domain=upstream.domain,
+                draining=upstream.is_draining,
+                cold=registry.is_cold(upstream),
+                verdict=self.verdicts.verdict(upstream).value,
+                slow=self.verdicts.is_slow(upstream),
+                open_flows=self.flows.outstanding(upstream.name),
+            )
+
+    def _forget(self, upstream: Upstream) -> None:
+        self.verdicts.forget(upstream)
+        self._allowance.forget(upstream)
+        self.placement.forget(upstream)
--- a/packages/token/src/hibiscushatch_token/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -7,17 +7,13 @@
 not answer are left out except for single flows that try them again.
 """
 
-import random
-from collections.abc import Callable
-
-from hibiscushatch_core.upstream_health import Verdict
-from hibiscushatch_token.cold_allowance import ColdAllowance
-from hibiscushatch_token.flow_table import FlowTable
-from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.health.upstream_verdicts import UpstreamVerdicts
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Route, Upstream
-from hibiscushatch_token.reachability import Reachability
-from hibiscushatch_token.response_times import ResponseTimes
 from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
+from hibiscushatch_token.traffic.flow_table import FlowTable
 
 
 class Placement:
@@ -25,47 +21,30 @@
 
     Args:
         settings: Settings of this entry VM.
-        registry: The upstreams.
-        routing: Tells evacuated failure domains.
+        environment: Clock and randomness.
+        known: The upstreams and the evacuated failure domains.
         flows: Outstanding flows.
-        reachability: Which upstreams accept flows.
-        times: Which upstreams answer slowly.
+        verdicts: Which upstreams answer, and how well.
         allowance: What cold upstreams may get.
-        fleet: Counts the entry VMs; 0 when that is not known.
-        clock: Monotonic seconds.
-        randomness: Breaks ties.
     """
 
-    def __init__(  # noqa: WPS211
+    def __init__(
         self,
         settings: TokenNodeSettings,
-        registry: Registry,
-        routing: Routing,
+        environment: Environment,
+        known: KnownState,
         flows: FlowTable,
-        reachability: Reachability,
-        times: ResponseTimes,
+        verdicts: UpstreamVerdicts,
         allowance: ColdAllowance,
-        fleet: Callable[[], int],
-        clock: Callable[[], float],
-        randomness: random.Random,
     ) -> None:
         self._settings = settings
-        self._registry = registry
-        self._routing = routing
+        self._known = known
         self._flows = flows
-        self._reachability = reachability
-        self._times = times
+        self._verdicts = verdicts
         self._allowance = allowance
-        self._fleet = fleet
-        self._clock = clock
-        self._randomness = randomness
+        self._clock = environment.clock
+        self._randomness = environment.randomness
         self._chosen_at: dict[str, float] = {}
-        self._unreachable_at: float | None = None
-
-    @property
-    def unreachable_at(self) -> float | None:
-        """When last no upstream of a route was known to answer."""
-        return self._unreachable_at
 
     def forget(self, upstream: Upstream) -> None:
         """Drop what is known of an upstream that is gone or began anew."""
@@ -77,10 +56,10 @@
         Where the size of the fleet is not known yet, as after a start, a
         single flow is its part.
         """
-        alive = self._alive(self._eligible(service))
+        alive = self._verdicts.without_dead(self._eligible(service))
         slots = sum(one.slots for one in alive)
         outstanding = sum(self._flows.outstanding(one.name) for one in alive)
-        fleet = self._fleet()
+        fleet = self._known.count_fleet()
         part = slots / fleet if fleet else 1
         return outstanding < max(1, part)
 
@@ -104,13 +83,13 @@
         """
         eligible = self._eligible(service)
         candidates = _without(eligible, tried) or eligible
-        alive = self._alive(candidates)
+        alive = self._verdicts.without_dead(candidates)
         if candidates and not alive:
-            self._unreachable_at = self._clock()
+            self._verdicts.note_unreachable()
             return self._take(self._cheapest(candidates))
         due = None
         if len(alive) < len(candidates):
-            due = self._due_probe(candidates)
+            due = self._verdicts.take_due_probe(candidates)
         return self._take(due or self._cheapest(alive))
 
     def choose_other(
@@ -126,37 +105,20 @@
             The upstream; None when none that answers may get it.
         """
         candidates = _without(self._eligible(service), tried)
-        return self._take(self._cheapest(self._alive(candidates)))
+        alive = self._verdicts.without_dead(candidates)
+        return self._take(self._cheapest(alive))
 
     def _eligible(self, service: str) -> list[Upstream]:
-        evacuated = self._routing.evacuated
+        evacuated = self._known.routing.evacuated
         eligible = [
             one
-            for one in self._registry.of_service(service)
+            for one in self._known.registry.of_service(service)
             if not one.is_draining and one.domain not in evacuated
         ]
         if not self._allowance.is_stated(service):
             return eligible
         return [one for one in eligible if self._allowance.permits(one)]
 
-    def _alive(self, candidates: list[Upstream]) -> list[Upstream]:
-        if not self._reachability.has_dead:
-            return candidates
-        return [
-            one
-            for one in candidates
-            if self._reachability.verdict(one) is not Verdict.DEAD
-        ]
-
-    def _due_probe(self, candidates: list[Upstream]) -> Upstream | None:
-        now = self._clock()
-        for upstream in candidates:
-            is_dead = self._reachability.verdict(upstream) is Verdict.DEAD
-            if is_dead and self._reachability.may_probe(upstream, now):
-                self._reachability.probe_started(upstream, now)
-                return upstream
-        return None
-
     def _cheapest(self, candidates: list[Upstream]) -> Upstream | None:
         limits = self._settings.placement
         domain = self._settings.domain
@@ -178,17 +140,10 @@
         return cheapest
 
     def _penalties(self, candidates: list[Upstream]) -> dict[str, float]:
-        limits = self._settings.placement
-        now = self._clock()
-        groups = (
-            (self._registry.cold_names(), limits.cold_cost),
-            (self._reachability.doubtful_names(now), limits.doubt_cost),
-            (self._times.slow_among(candidates), limits.slow_cost),
-        )
-        penalties: dict[str, float] = {}
-        for names, cost in groups:
-            for name in names:
-                penalties[name] = penalties.get(name, 0) + cost
+        cold_cost = self._settings.placement.cold_cost
+        penalties = dict.fromkeys(self._known.registry.cold_names(), cold_cost)
+        for name, cost in self._verdicts.penalties(candidates):
+            penalties[name] = penalties.get(name, 0) + cost
         return penalties
 
     def _take(self, chosen: Upstream | None) -> Upstream | None:
--- a/packages/token/tests/flow_opener_test.py
+++ b/packages/token/tests/flow_opener_test.py
@@ -1,4 +1,4 @@
-"""Tests of hibiscushatch_token.flow_opener."""
+"""Tests of hibiscushatch_token.traffic.flow_opener."""
 
 from token_fixtures import LAST, Stage, stage, upstream
 
--- a/packages/token/tests/forwarder_test.py
+++ b/packages/token/tests/forwarder_test.py
@@ -1,4 +1,4 @@
-"""Tests of hibiscushatch_token.forwarder."""
+"""Tests of hibiscushatch_token.traffic.forwarder."""
 
 import msgspec
 import token_fixtures as fixtures
--- a/packages/token/tests/late_flows_test.py
+++ b/packages/token/tests/late_flows_test.py
@@ -1,10 +1,10 @@
-"""Tests of hibiscushatch_token.late_flows."""
+"""Tests of hibiscushatch_token.traffic.late_flows."""
 
 from token_fixtures import FakeClock, FakeCodec, opening, stage, upstream
 
-from hibiscushatch_token.late_flows import LateFlows, is_late
 from hibiscushatch_token.model import Route, WeightedService
 from hibiscushatch_token.ports import FlowPacket
+from hibiscushatch_token.traffic.late_flows import LateFlows, is_late
 
 SERVICES = (WeightedService('booking', 1),)
 
--- a/packages/token/tests/partition_test.py
+++ b/packages/token/tests/partition_test.py
@@ -1,20 +1,20 @@
-"""Tests of hibiscushatch_token.partition, in virtual time."""
+"""Tests of hibiscushatch_token.health.partition, in virtual time."""
 
 import asyncio
 
 import token_fixtures as fixtures
 
-from hibiscushatch_token.partition import PartitionDetector
+from hibiscushatch_token.health.partition import PartitionDetector
 
 
 async def is_cut_off(has_sign: bool, store_answers: bool) -> bool:
     """Tell what the detector finds with the two signs as given."""
     scene = fixtures.stage(fixtures.upstream('b1', 'there'))
     if has_sign:
-        scene.placement._unreachable_at = scene.clock.now
+        scene.verdicts.note_unreachable()
     store = fixtures.FakeStore()
     store.answers_calls = store_answers
-    detector = PartitionDetector(store, scene.placement, scene.clock)
+    detector = PartitionDetector(store, scene.verdicts, scene.clock)
     task = asyncio.create_task(detector.run())
     await asyncio.sleep(1)
     task.cancel()
@@ -29,10 +29,10 @@
 
 async def test_a_cut_ends_when_the_store_answers_again() -> None:
     scene = fixtures.stage(fixtures.upstream('b1', 'there'))
-    scene.placement._unreachable_at = scene.clock.now
+    scene.verdicts.note_unreachable()
     store = fixtures.FakeStore()
     store.answers_calls = False
-    detector = PartitionDetector(store, scene.placement, scene.clock)
+    detector = PartitionDetector(store, scene.verdicts, scene.clock)
     task = asyncio.create_task(detector.run())
     await asyncio.sleep(1)
     scene.clock.now += 1
@@ -45,9 +45,9 @@
 
 async def test_readiness_fails_while_the_store_is_asked() -> None:
     scene = fixtures.stage(fixtures.upstream('b1', 'there'))
-    scene.placement._unreachable_at = scene.clock.now
+    scene.verdicts.note_unreachable()
     store = fixtures.SlowStore(answer_s=0.25)
-    detector = PartitionDetector(store, scene.placement, scene.clock)
+    detector = PartitionDetector(store, scene.verdicts, scene.clock)
     task = asyncio.create_task(detector.run())
     await asyncio.sleep(0.1)
     assert detector.is_suspected
--- a/packages/token/tests/placement_test.py
+++ b/packages/token/tests/placement_test.py
@@ -1,4 +1,4 @@
-"""Tests of hibiscushatch_token.placement and what it is made of."""
+"""Tests of hibiscushatch_token.traffic.placement and what it is made of."""
 
 import collections
 
@@ -118,7 +118,7 @@
             tried.append(chosen)
         scene.wait(0.13)
     assert len(tried) <= 3 + 5
-    assert scene.placement.unreachable_at is None
+    assert scene.verdicts.unreachable_at is None
 
 
 def test_flows_without_an_answering_upstream_are_a_sign_of_a_cut() -> None:
@@ -127,7 +127,7 @@
         scene.open(f'f{index:03}')
         scene.wait(0.13)
     scene.open('g001')
-    assert scene.placement.unreachable_at == scene.clock.now
+    assert scene.verdicts.unreachable_at == scene.clock.now
 
 
 def test_a_cold_upstream_gets_its_allowance_from_the_whole_fleet() -> None:
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -1,4 +1,4 @@
-"""Tests of hibiscushatch_token.publisher and subscriber together."""
+"""Tests of hibiscushatch_token.knowledge.publisher and subscriber together."""
 
 import random
 import zlib
@@ -7,10 +7,10 @@
 from token_fixtures import change, listing, replica_stage
 
 from hibiscushatch_core.ports import WatchEvent
-from hibiscushatch_token import peer_messages
+from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.publisher import Publisher
+from hibiscushatch_token.knowledge.subscriber import Subscriber
 from hibiscushatch_token.ports import Changes
-from hibiscushatch_token.publisher import Publisher
-from hibiscushatch_token.subscriber import Subscriber
 
 NEAR = '127.0.0.1:31'
 FAR = '127.0.0.1:32'
--- a/packages/token/tests/replica_test.py
+++ b/packages/token/tests/replica_test.py
@@ -1,4 +1,4 @@
-"""Tests of hibiscushatch_token.replica."""
+"""Tests of hibiscushatch_token.knowledge.replica."""
 
 import logging
 import unittest
@@ -96,7 +96,7 @@
     scene = replica_stage()
     scene.replica.merge_listing(listing(1, servers_a='here'))
     scene.replica.prove(0)
-    log = logging.getLogger('hibiscushatch_token.replica')
+    log = logging.getLogger('hibiscushatch_token.knowledge.replica')
     with unittest.TestCase().assertLogs(log) as lines:
         for _ in range(3):
             scene.clock.now += 3
--- a/packages/token/tests/response_times_test.py
+++ b/packages/token/tests/response_times_test.py
@@ -1,10 +1,10 @@
-"""Tests of hibiscushatch_token.response_times and request_watch."""
+"""Tests of hibiscushatch_token.health.response_times and request_watch."""
 
 import collections
 
 from token_fixtures import LAST, PAYLOAD, FakeClock, Stage, stage, upstream
 
-from hibiscushatch_token.response_times import ResponseTimes
+from hibiscushatch_token.health.response_times import ResponseTimes
 
 USUAL_S = 0.05
 SLOW_S = 0.4
@@ -94,7 +94,7 @@
     scene.send('f001', upstream(hanging).token, PAYLOAD)
     scene.clock.now += SLOW_S
     scene.requests.note_overdue()
-    assert scene.placement._times.is_slow(upstream(hanging))
+    assert scene.verdicts.is_slow(upstream(hanging))
 
 
 def test_a_caller_that_pauses_says_nothing_of_the_upstream() -> None:
@@ -108,4 +108,4 @@
         scene.send('f001', token, PAYLOAD)
         scene.clock.now += USUAL_S
         scene.send('f001', token)
-    assert not scene.placement._times.is_slow(upstream(chosen))
+    assert not scene.verdicts.is_slow(upstream(chosen))
--- a/packages/token/tests/store_reader_test.py
+++ b/packages/token/tests/store_reader_test.py
@@ -1,4 +1,4 @@
-"""Tests of hibiscushatch_token.store_reader, in virtual time."""
+"""Tests of hibiscushatch_token.knowledge.store_reader, in virtual time."""
 
 import asyncio
 import random
@@ -8,7 +8,7 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import PlatformUnavailableError
 from hibiscushatch_core.reasons import RetryReason
-from hibiscushatch_token.store_reader import StoreReader
+from hibiscushatch_token.knowledge.store_reader import StoreReader
 
 DOWN = PlatformUnavailableError('watch', 'store', 'status 503')
 
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -9,11 +9,10 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.ports import StoredValue, WatchEvent
-from hibiscushatch_token.cold_allowance import ColdAllowance
-from hibiscushatch_token.flow_opener import FlowOpener
-from hibiscushatch_token.flow_table import FlowTable
-from hibiscushatch_token.forwarder import Forwarder
-from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.knowledge.replica import StoreReplica
+from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.model import (
     Route,
     RoutingConfig,
@@ -21,8 +20,6 @@
     Upstream,
     WeightedService,
 )
-from hibiscushatch_token.packet_exit import PacketExit
-from hibiscushatch_token.placement import Placement
 from hibiscushatch_token.ports import (
     Changes,
     Documents,
@@ -33,11 +30,8 @@
     Reset,
     Store,
 )
-from hibiscushatch_token.reachability import Reachability
-from hibiscushatch_token.replica import StoreReplica
-from hibiscushatch_token.request_watch import RequestWatch
-from hibiscushatch_token.response_times import ResponseTimes
 from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.traffic.packet_path import PacketPath
 
 # Lost stores are what many tests are about; their lines would fill the output.
 logging.getLogger('hibiscushatch_token').addHandler(logging.NullHandler())
@@ -242,21 +236,40 @@
     return msgspec.convert({**fields, **changes}, TokenNodeSettings)
 
 
-@dataclasses.dataclass
-class Stage:
-    """One entry VM's decisions with a clock and a record of what it sent."""
+class Stage(PacketPath):
+    """One entry VM's decisions with a clock and a record of what it sent.
 
-    clock: FakeClock
-    routing: Routing
-    registry: Registry
-    flows: FlowTable
-    reachability: Reachability
-    placement: Placement
-    opener: FlowOpener
-    requests: RequestWatch
-    forwarder: Forwarder
-    counters: Counters
-    sent: list[tuple[bytes, tuple[str, int]]]
+    Args:
+        clock: The clock that the test sets.
+        fleet: Number of entry VMs.
+    """
+
+    def __init__(self, clock: FakeClock, fleet: int) -> None:
+        self.clock = clock
+        self.counters = Counters()
+        self.sent: list[tuple[bytes, tuple[str, int]]] = []
+        environment = Environment(
+            FakeCodec(),
+            self.counters,
+            clock,
+            random.Random(SEED),  # noqa: S311
+        )
+        super().__init__(
+            settings(),
+            environment,
+            lambda datagram, target: self.sent.append((datagram, target)),
+            lambda: fleet,
+        )
+
+    @property
+    def routing(self) -> Routing:
+        """The routes in force."""
+        return self.known.routing
+
+    @property
+    def registry(self) -> Registry:
+        """The upstreams."""
+        return self.known.registry
 
     def send(
         self, flow: str, token: int = 0, flags: int = 0, copy: int = 0
@@ -299,68 +312,11 @@
     clock: FakeClock | None = None,
 ) -> Stage:
     """Build an entry VM's decisions with listed upstreams."""
-    clock = clock or FakeClock()
-    randomness = random.Random(SEED)  # noqa: S311
-    reachability = Reachability(randomness)
-    routing = Routing()
-    routing.apply_config(config(1, cold), 1)
-    registry = Registry(clock, 60, reachability.forget)
+    scene = Stage(clock or FakeClock(), fleet)
+    scene.routing.apply_config(config(1, cold), 1)
     for one in upstreams:
-        registry.apply(one.name, one, 1)
-    flows = FlowTable()
-    times = ResponseTimes(clock)
-    requests = RequestWatch(times, clock)
-    allowance = ColdAllowance(
-        registry, routing, lambda: fleet, clock, randomness
-    )
-    placement = Placement(
-        settings(),
-        registry,
-        routing,
-        flows,
-        reachability,
-        times,
-        allowance,
-        lambda: fleet,
-        clock,
-        randomness,
-    )
-    counters = Counters()
-    sent: list[tuple[bytes, tuple[str, int]]] = []
-    codec = FakeCodec()
-    packet_exit = PacketExit(
-        codec,
-        counters,
-        lambda datagram, target: sent.append((datagram, target)),
-    )
-    opener = FlowOpener(
-        settings().placement,
-        codec,
-        routing,
-        registry,
-        flows,
-        placement,
-        reachability,
-        packet_exit,
-        counters,
-        clock,
-    )
-    forwarder = Forwarder(
-        codec, registry, flows, opener, requests, packet_exit, counters, clock
-    )
-    return Stage(
-        clock,
-        routing,
-        registry,
-        flows,
-        reachability,
-        placement,
-        opener,
-        requests,
-        forwarder,
-        counters,
-        sent,
-    )
+        scene.registry.apply(one.name, one, 1)
+    return scene
 
 
 @dataclasses.dataclass
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from hibiscushatch_core.ports import WatchEvent
-from hibiscushatch_token import peer_messages
+from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.publisher import HEARTBEAT_S, Publisher
 from hibiscushatch_token.ports import Changes
-from hibiscushatch_token.publisher import HEARTBEAT_S, Publisher
 from hibiscushatch_token.settings import RelaySettings
 from hibiscushatch_tools import capacity_page
 from hibiscushatch_tools.capacity_fit import Point
@@ -63,7 +63,7 @@
         'open',
         'processor time to open a flow, us',
         'upstreams of the service',
-        'hibiscushatch_token.placement',
+        'hibiscushatch_token.traffic.placement',
         _points(UPSTREAM_SIZES, _opening_us),
         DESIGN.upstreams / DESIGN.services,
     )
@@ -71,7 +71,7 @@
         'carry',
         'processor time of a later packet, us',
         'flows in the table',
-        'hibiscushatch_token.forwarder',
+        'hibiscushatch_token.traffic.forwarder',
         _points(FLOW_SIZES, _carrying_us),
         DESIGN.new_flows_a_vm_s * TABLE_S,
     )
@@ -79,7 +79,7 @@
         'sweep',
         'processor time of a sweep of the table, us',
         'flows in the table',
-        'hibiscushatch_token.flow_table',
+        'hibiscushatch_token.traffic.flow_table',
         _points(FLOW_SIZES, _sweep_us),
         DESIGN.new_flows_a_vm_s * TABLE_S,
     )
@@ -90,7 +90,7 @@
         'listing',
         'processor time to take over a listing, ms',
         'upstreams',
-        'hibiscushatch_token.replica',
+        'hibiscushatch_token.knowledge.replica',
         _points(ITEM_SIZES, _listing_ms),
         DESIGN.upstreams,
     )
@@ -98,7 +98,7 @@
         'change',
         'processor time to take over one changed entry, us',
         'upstreams',
-        'hibiscushatch_token.knowledge',
+        'hibiscushatch_token.knowledge.registry',
         _points(ITEM_SIZES, _change_us),
         DESIGN.upstreams,
     )
@@ -106,7 +106,7 @@
         'state',
         'bytes of replica and registry',
         'upstreams',
-        'hibiscushatch_token.replica',
+        'hibiscushatch_token.knowledge.replica',
         _points(ITEM_SIZES, _state_bytes),
         DESIGN.upstreams,
     )
@@ -114,7 +114,7 @@
         'snapshot',
         'bytes of a snapshot for an entry VM that starts from a peer',
         'upstreams',
-        'hibiscushatch_token.publisher',
+        'hibiscushatch_token.knowledge.publisher',
         _points(ITEM_SIZES, _snapshot_bytes),
         DESIGN.upstreams,
     )
@@ -125,7 +125,7 @@
         'heartbeat_bytes',
         'bytes that a publisher or relay sends in a second',
         'subscribers',
-        'hibiscushatch_token.publisher',
+        'hibiscushatch_token.knowledge.publisher',
         _points(SUBSCRIBER_SIZES, _heartbeat_bytes_s),
         _most_subscribers(),
     )
@@ -133,7 +133,7 @@
         'heartbeat_us',
         'processor time of the heartbeats of a second, sockets not counted, us',
         'subscribers',
-        'hibiscushatch_token.publisher',
+        'hibiscushatch_token.knowledge.publisher',
         _points(SUBSCRIBER_SIZES, _heartbeat_us_s),
         _most_subscribers(),
     )
@@ -166,14 +166,14 @@
         'processor time to open its new flows (packets, not control)',
         flows_ms_s,
         'ms/s',
-        'hibiscushatch_token.flow_opener',
+        'hibiscushatch_token.traffic.flow_opener',
     )
     yield Verdict(
         vm,
         'processor time of sweeps of the flow table',
         sweeps_ms_s,
         'ms/s',
-        'hibiscushatch_token.flow_table',
+        'hibiscushatch_token.traffic.flow_table',
         LIMITS.core_ms_s,
     )
     yield Verdict(
@@ -181,7 +181,7 @@
         'replacements of upstreams, mean processor time',
         at_target['change'] / US_PER_S / DESIGN.replacement_interval_s,
         'ms/s',
-        'hibiscushatch_token.knowledge',
+        'hibiscushatch_token.knowledge.registry',
         LIMITS.core_ms_s,
     )
     yield Verdict(
@@ -189,7 +189,7 @@
         'loop held when it takes over a whole listing',
         at_target['listing'] / MS_PER_S,
         's',
-        'hibiscushatch_token.replica',
+        'hibiscushatch_token.knowledge.replica',
         1,
     )
     yield Verdict(
@@ -197,7 +197,7 @@
         'state: replica and registry',
         at_target['state'],
         'B',
-        'hibiscushatch_token.replica',
+        'hibiscushatch_token.knowledge.replica',
         LIMITS.memory_bytes,
     )
     yield Verdict(
@@ -205,7 +205,7 @@
         'heartbeats and announcements at rest, bytes sent',
         at_target['heartbeat_bytes'],
         'B/s',
-        'hibiscushatch_token.publisher',
+        'hibiscushatch_token.knowledge.publisher',
         LIMITS.control_bytes_s,
     )
     yield Verdict(
@@ -213,7 +213,7 @@
         'processor time of heartbeats, sockets not counted',
         at_target['heartbeat_us'] / MS_PER_S,
         'ms/s',
-        'hibiscushatch_token.publisher',
+        'hibiscushatch_token.knowledge.publisher',
         LIMITS.core_ms_s,
     )
     yield Verdict(
@@ -221,7 +221,7 @@
         'snapshots for a rack of 40 that starts while the store is away',
         at_target['snapshot'] * DESIGN.rack_vms / PUBLISHERS,
         'B',
-        'hibiscushatch_token.publisher',
+        'hibiscushatch_token.knowledge.publisher',
     )
 
 
--- a/packages/tools/src/hibiscushatch_tools/capacity_node.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_node.py
@@ -13,11 +13,8 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.ports import StoredValue, WatchEvent
-from hibiscushatch_token.cold_allowance import ColdAllowance
-from hibiscushatch_token.flow_opener import FlowOpener
-from hibiscushatch_token.flow_table import FlowTable
-from hibiscushatch_token.forwarder import Forwarder
-from hibiscushatch_token.knowledge import Registry, Routing
+from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.model import (
     NO_CONFIG,
     Route,
@@ -26,8 +23,6 @@
     Upstream,
     WeightedService,
 )
-from hibiscushatch_token.packet_exit import PacketExit
-from hibiscushatch_token.placement import Placement
 from hibiscushatch_token.ports import (
     Documents,
     FlowPacket,
@@ -35,11 +30,8 @@
     PacketCodec,
     Reset,
 )
-from hibiscushatch_token.reachability import Reachability
-from hibiscushatch_token.replica import StoreReplica
-from hibiscushatch_token.request_watch import RequestWatch
-from hibiscushatch_token.response_times import ResponseTimes
 from hibiscushatch_token.settings import StoreSettings, TokenNodeSettings
+from hibiscushatch_token.traffic.packet_path import PacketPath
 
 SEED = 11
 NO_EVACUATIONS: tuple[tuple[str, bool], ...] = ()
@@ -119,55 +111,28 @@
     """
 
     def __init__(self, upstreams: int) -> None:
-        randomness = random.Random(SEED)  # noqa: S311
-        clock = time.monotonic
-        counters = Counters()
-        codec = PlainCodec()
         self.settings = node_settings()
-        routing = Routing()
+        environment = Environment(
+            PlainCodec(),
+            Counters(),
+            time.monotonic,
+            random.Random(SEED),  # noqa: S311
+        )
+        path = PacketPath(self.settings, environment, _swallow, _fleet)
+        self.flows = path.flows
+        self.opener = path.opener
+        self._forwarder = path.forwarder
+        routing = path.known.routing
         route = Route((WeightedService(SERVICE, 1),), aim_s=1, timeout_s=2)
         policies = {SERVICE: ServicePolicy(0, 2000)}
         routing.apply_config(RoutingConfig(1, {_ENDPOINT: route}, policies), 1)
-        reachability = Reachability(randomness)
-        registry = Registry(clock, 60, reachability.forget)
-        times = ResponseTimes(clock)
-        self.flows = FlowTable()
-        placement = Placement(
-            self.settings,
-            registry,
-            routing,
-            self.flows,
-            reachability,
-            times,
-            ColdAllowance(registry, routing, _fleet, clock, randomness),
-            _fleet,
-            clock,
-            randomness,
-        )
-        self.opener = FlowOpener(
-            self.settings.placement,
-            codec,
-            routing,
-            registry,
-            self.flows,
-            placement,
-            reachability,
-            PacketExit(codec, counters, _swallow),
-            counters,
-            clock,
-        )
-        self._forwarder = Forwarder(
-            codec,
-            registry,
-            self.flows,
-            self.opener,
-            RequestWatch(times, clock),
-            PacketExit(codec, counters, _swallow),
-            counters,
-            clock,
-        )
         self.replica = StoreReplica(
-            PlainDocuments(), routing, registry, clock, 2, 2
+            PlainDocuments(),
+            routing,
+            path.known.registry,
+            environment.clock,
+            2,
+            2,
         )
         self.replica.merge_listing(listing(upstreams, 1))
 
