Let entry VMs turn to upstreams in different orders

Cause: the order of turns began alike at every entry VM, in the order of the listing, and an upstream that was new or whose penalty ended was the oldest choice of all of them at once.

Change: turns begin in a random order; a new upstream takes the place of another one; one that is passed over for a penalty has had its turn.

--- a/packages/token/src/hibiscushatch_token/traffic/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -44,6 +44,8 @@
         self._allowance = allowance
         self._clock = environment.clock
         self._randomness = environment.randomness
+        # When each upstream had its latest turn; before the first one a
+        # negative number.
         self._chosen_at: dict[str, float] = {}
 
     def forget(self, upstream: Upstream) -> None:
@@ -125,20 +127,50 @@
         penalties = self._penalties(candidates)
         cheapest = None
         least = (float('inf'), 0.0)
+        in_turn = None
+        least_in_turn = least
         # Written out: this is most of what opening a flow costs.
         for upstream in candidates:
             name = upstream.name
             cost = self._flows.outstanding(name) / upstream.slots
             if upstream.domain != domain:
                 cost += limits.remote_cost
+            chosen_at = self._chosen_at.get(name)
+            if chosen_at is None:
+                chosen_at = self._enter(name, candidates)
+            rank = (cost, chosen_at)
             if penalties:
-                cost += penalties.get(name, 0)
-            rank = (cost, self._chosen_at.get(name, 0))
+                if rank < least_in_turn:
+                    in_turn = upstream
+                    least_in_turn = rank
+                rank = (cost + penalties.get(name, 0), chosen_at)
             if rank < least:
                 cheapest = upstream
                 least = rank
+        if in_turn is not None:
+            # One that is passed over has had its turn: when its penalty ends
+            # everywhere at once, it is not the first choice everywhere.
+            self._chosen_at[in_turn.name] = self._clock()
         return cheapest
 
+    def _enter(self, name: str, candidates: list[Upstream]) -> float:
+        """Give an upstream that is new here a place in the order of turns.
+
+        Entry VMs learn of it at the same time; it would be the first choice
+        of all of them.
+        """
+        turns = [
+            self._chosen_at[one.name]
+            for one in candidates
+            if self._chosen_at.get(one.name, 0) > 0
+        ]
+        if turns:
+            turn = self._randomness.choice(turns)
+        else:
+            turn = -self._randomness.random()
+        self._chosen_at[name] = turn
+        return turn
+
     def _penalties(self, candidates: list[Upstream]) -> dict[str, float]:
         cold_cost = self._settings.placement.cold_cost
         penalties = dict.fromkeys(self._known.registry.cold_names(), cold_cost)
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -242,9 +242,10 @@
     Args:
         clock: The clock that the test sets.
         fleet: Number of entry VMs.
+        seed: Seed of its randomness.
     """
 
-    def __init__(self, clock: FakeClock, fleet: int) -> None:
+    def __init__(self, clock: FakeClock, fleet: int, seed: int = SEED) -> None:
         self.clock = clock
         self.counters = Counters()
         self.sent: list[tuple[bytes, tuple[str, int]]] = []
@@ -252,7 +253,7 @@
             FakeCodec(),
             self.counters,
             clock,
-            random.Random(SEED),  # noqa: S311
+            random.Random(seed),  # noqa: S311
         )
         super().__init__(
             settings(),
