Eject upstreams whose requests fail much oftener than those of others

Change: two signs of failure (overdue, early end), counted by upstream and reported to publishers, by way of relays; an upstream with two failures more than four times what is usual for its service is ejected for 4 to 30 s, at most a third of a service and half of a domain, and heartbeats tell everyone. Requests that wait are compared with the time they are due at, found once.

Ruled out: a single sign from one entry VM for all (a request in some hundred takes four times the mean); a threshold of three failures (later by a fifth of a second, no fewer false ones once the herds were gone); comparing counts by a ratio alone (a cache that answers a third of the requests ejected upstreams).

--- a/packages/core/src/hibiscushatch_core/counters.py
+++ b/packages/core/src/hibiscushatch_core/counters.py
@@ -17,6 +17,7 @@
         drops: Packets dropped, by reason.
         refusals: Flows refused or reset, by reason.
         retries: Attempts made again, by reason.
+        failure_signals: Signs that an upstream failed a request, by sign.
         packets_in: Datagrams received from the fabric and upstreams.
         packets_relayed: Datagrams sent to another entry VM.
         packets_to_upstreams: Datagrams sent to upstreams.
@@ -39,6 +40,9 @@
     retries: collections.Counter[reasons.RetryReason] = msgspec.field(
         default_factory=collections.Counter
     )
+    failure_signals: collections.Counter[reasons.FailureSignal] = msgspec.field(
+        default_factory=collections.Counter
+    )
     packets_in: int = 0
     packets_relayed: int = 0
     packets_to_upstreams: int = 0
--- a/packages/core/src/hibiscushatch_core/metrics.py
+++ b/packages/core/src/hibiscushatch_core/metrics.py
@@ -45,6 +45,11 @@
     ReasonFamily(
         'retries', 'Attempts made again, by reason.', reasons.RetryReason
     ),
+    ReasonFamily(
+        'failure_signals',
+        'Signs that an upstream failed a request, by sign.',
+        reasons.FailureSignal,
+    ),
 )
 _FAMILY_NAMES = frozenset(family.name for family in REASON_FAMILIES)
 TOTAL_NAMES = tuple(
--- a/packages/core/src/hibiscushatch_core/reasons.py
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -44,6 +44,13 @@
     NO_ROUTE = 'no_route'
 
 
+class FailureSignal(enum.StrEnum):
+    """What made a request look failed by its upstream."""
+
+    OVERDUE = 'overdue'
+    EARLY_END = 'early_end'
+
+
 class RetryReason(enum.StrEnum):
     """Why something was tried again."""
 
--- a/packages/core/src/hibiscushatch_core/upstream_health.py
+++ b/packages/core/src/hibiscushatch_core/upstream_health.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from hibiscushatch_core.decaying_count import DecayingCount
+
 
 class Verdict(enum.StrEnum):
     """Whether an upstream may be given new flows.
@@ -94,7 +96,7 @@
         self._answers = 0
         self._cold_signs = 0
         self._usual_handshake_s: float | None = None
-        self._deaths = _DecayingCount(settings.damping_half_life_s)
+        self._deaths = DecayingCount(settings.damping_half_life_s)
         self._probes = _ProbeTimer(settings)
 
     @property
@@ -202,25 +204,6 @@
             self._verdict = Verdict.SUSPECT
 
 
-class _DecayingCount:
-    """A count of events that halves in a fixed time."""
-
-    def __init__(self, half_life_s: float) -> None:
-        self._half_life_s = half_life_s
-        self._count = 0.0
-        self._counted_at = 0.0
-
-    def add(self, now: float) -> None:
-        """Count one event."""
-        self._count = self.value_at(now) + 1
-        self._counted_at = now
-
-    def value_at(self, now: float) -> float:
-        """Return what is left of the count."""
-        passed = (now - self._counted_at) / self._half_life_s
-        return self._count * 0.5**passed
-
-
 class _ProbeTimer:
     """Growing intervals between probes, with jitter."""
 
--- a/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
+++ b/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
@@ -108,6 +108,8 @@
         marks.append('cold')
     if upstream.slow:
         marks.append('slow')
+    if upstream.ejected:
+        marks.append('ejected')
     return (
         f'  {upstream.name:20} {upstream.service:16} {upstream.domain:16} '
         f'{upstream.open_flows:5} flows, {", ".join(marks)}'
--- a/packages/ops/tests/entry_vm_command_test.py
+++ b/packages/ops/tests/entry_vm_command_test.py
@@ -26,7 +26,7 @@
     evacuated=['pos-b'],
     upstreams=[
         status.UpstreamStatus(
-            'i-1', 'booking', 'pos-a', False, True, 'usable', True, 3
+            'i-1', 'booking', 'pos-a', False, True, 'usable', True, True, 3
         )
     ],
 )
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -76,7 +76,12 @@
             edge, self._traffic.forwarder.handle, self._counters
         )
         self._replication = Replication(
-            settings, store, documents, self._traffic.known, environment
+            settings,
+            store,
+            documents,
+            self._traffic.known,
+            self._traffic.outliers,
+            environment,
         )
         self._partition = PartitionDetector(
             store, self._traffic.verdicts, time.monotonic
@@ -221,6 +226,8 @@
                 pause_s = self._traffic.opener.retry_unanswered()
                 self._traffic.opener.place_late()
                 self._traffic.requests.note_overdue()
+                failures = self._traffic.requests.take_failures()
+                self._replication.failures.saw(failures)
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
@@ -232,6 +239,7 @@
             if loop.time() - expired_at >= _EXPIRE_S:
                 expired_at = loop.time()
                 self._traffic.known.registry.expire()
+                self._traffic.outliers.expire()
 
     def _count_fleet(self) -> int:
         return self._replication.fleet
--- a/packages/token/src/hibiscushatch_token/health/response_times.py
+++ b/packages/token/src/hibiscushatch_token/health/response_times.py
@@ -1,4 +1,4 @@
-"""Which upstreams answer requests much more slowly than others.
+"""How long requests take, and which upstreams take much longer than others.
 
 The load answered is a service whose upstreams are alike, of which a few turn
 slow or hang while they still accept flows. A request is not parsed: its time
@@ -13,15 +13,19 @@
 
 import msgspec
 
+from hibiscushatch_token.health.request_signals import (
+    EarlyEndSignal,
+    OverdueSignal,
+    RequestTimes,
+    UsualTimes,
+)
 from hibiscushatch_token.model import Upstream
 
-# Work of requests varies; one in some hundred takes four times the mean.
-_SLOW_FACTOR = 4.0
-# No request is slow that takes less; half of the shortest aims.
-_SLOW_FLOOR_S = 0.1
 _USUAL_WEIGHT = 0.05
 # A single slow request moves what is usual no more than one of this many times.
 _USUAL_CLIP = 2.0
+# So many requests tell how often they end early.
+_EARLY_MEMORY = 200
 # Requests of a service before anything is called slow.
 _SAMPLES_MIN = 20
 _AVOID_MIN_S = 3.0
@@ -29,15 +33,30 @@
 _AVOID_GROWTH = 2.0
 # The part of a service's upstreams that may be avoided as slow.
 _SLOW_SHARE_MAX = 1 / 3
+_UNKNOWN = UsualTimes()
 
 _log = logging.getLogger(__name__)
 
 
-class _Usual(msgspec.Struct):
-    """Moving average of the times of one service."""
+class _MovingAverage(msgspec.Struct):
+    """Moving average of times, in seconds, in which none weighs much."""
 
     seconds: float
+
+    def add(self, seconds: float) -> None:
+        """Add one time."""
+        clipped = min(seconds, self.seconds * _USUAL_CLIP)
+        self.seconds += (clipped - self.seconds) * _USUAL_WEIGHT
+
+
+class _ServiceTimes(msgspec.Struct):
+    """Times of the requests of one service."""
+
+    response: _MovingAverage
+    work: _MovingAverage
+    usual: UsualTimes
     samples: int = 1
+    early_share: float = 0
 
 
 class _Avoided(msgspec.Struct):
@@ -61,29 +80,31 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._usual: dict[str, _Usual] = {}
+        self._services: dict[str, _ServiceTimes] = {}
         self._avoided: dict[str, _Avoided] = {}
+        self._overdue = OverdueSignal()
+        self._early_end = EarlyEndSignal()
 
-    def slow_after_s(self, service: str) -> float:
-        """Return how long a request may take; infinite when unknown."""
-        usual = self._usual.get(service)
-        if usual is None or usual.samples < _SAMPLES_MIN:
-            return float('inf')
-        return max(_SLOW_FLOOR_S, usual.seconds * _SLOW_FACTOR)
+    def usual(self, service: str) -> UsualTimes:
+        """Return what is usual for a service."""
+        known = self._services.get(service)
+        if known is None or known.samples < _SAMPLES_MIN:
+            return _UNKNOWN
+        return known.usual
 
-    def responded(self, upstream: Upstream, seconds: float) -> None:
+    def responded(self, upstream: Upstream, times: RequestTimes) -> None:
         """Count a request that was answered."""
-        if seconds > self.slow_after_s(upstream.service):
-            self.note_slow(upstream, seconds)
+        if self._overdue.is_given(times, self.usual(upstream.service)):
+            self.note_slow(upstream, times.waited_s)
         elif self._avoided.pop(upstream.name, None) is not None:
             _log.info(
                 'upstream no longer slow',
                 extra={
                     'upstream': upstream.name,
-                    'response_s': round(seconds, 3),
+                    'response_s': round(times.waited_s, 3),
                 },
             )
-        self._note_usual(upstream.service, seconds)
+        self._note_usual(upstream.service, times)
 
     def note_slow(self, upstream: Upstream, seconds: float) -> None:
         """Avoid an upstream that has left a request waiting for long."""
@@ -95,12 +116,13 @@
         if before is not None:
             pause_s = min(_AVOID_MAX_S, before.pause_s * _AVOID_GROWTH)
         self._avoided[upstream.name] = _Avoided(now + pause_s, pause_s)
+        slow_after_s = self._overdue.after_s(self.usual(upstream.service))
         _log.info(
             'upstream slow',
             extra={
                 'upstream': upstream.name,
                 'waited_s': round(seconds, 3),
-                'slow_after_s': round(self.slow_after_s(upstream.service), 3),
+                'slow_after_s': round(slow_after_s, 3),
                 'avoided_s': pause_s,
             },
         )
@@ -126,11 +148,21 @@
         """Drop what is known of an upstream that is gone or began anew."""
         self._avoided.pop(upstream.name, None)
 
-    def _note_usual(self, service: str, seconds: float) -> None:
-        usual = self._usual.get(service)
-        if usual is None:
-            self._usual[service] = _Usual(seconds)
+    def _note_usual(self, service: str, times: RequestTimes) -> None:
+        known = self._services.get(service)
+        if known is None:
+            self._services[service] = _ServiceTimes(
+                _MovingAverage(times.waited_s),
+                _MovingAverage(times.work_s),
+                UsualTimes(times.waited_s, times.work_s),
+            )
             return
-        usual.samples += 1
-        clipped = min(seconds, usual.seconds * _USUAL_CLIP)
-        usual.seconds += (clipped - usual.seconds) * _USUAL_WEIGHT
+        known.samples += 1
+        is_early = self._early_end.is_early(times, known.usual)
+        change = is_early - known.early_share
+        known.early_share += change / min(known.samples, _EARLY_MEMORY)
+        known.response.add(times.waited_s)
+        known.work.add(times.work_s)
+        known.usual = UsualTimes(
+            known.response.seconds, known.work.seconds, known.early_share
+        )
--- a/packages/token/src/hibiscushatch_token/health/upstream_verdicts.py
+++ b/packages/token/src/hibiscushatch_token/health/upstream_verdicts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from hibiscushatch_core.upstream_health import Verdict
+from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.health.reachability import Reachability
 from hibiscushatch_token.health.response_times import ResponseTimes
 from hibiscushatch_token.model import Upstream
@@ -20,6 +21,7 @@
         settings: What doubts cost.
         reachability: Which upstreams accept flows.
         times: Which upstreams answer slowly.
+        outliers: Which upstreams are ejected.
         clock: Monotonic seconds.
     """
 
@@ -28,11 +30,13 @@
         settings: PlacementSettings,
         reachability: Reachability,
         times: ResponseTimes,
+        outliers: OutlierDetector,
         clock: Callable[[], float],
     ) -> None:
         self._settings = settings
         self._reachability = reachability
         self._times = times
+        self._outliers = outliers
         self._clock = clock
         self._unreachable_at: float | None = None
 
@@ -70,6 +74,8 @@
             yield name, limits.doubt_cost
         for name in self._times.slow_among(candidates):
             yield name, limits.slow_cost
+        for name, _ in self._outliers.ejected():
+            yield name, limits.slow_cost
 
     def verdict(self, upstream: Upstream) -> Verdict:
         """Tell whether an upstream accepts flows from here."""
@@ -83,6 +89,7 @@
         """Drop what is known of an upstream that is gone or began anew."""
         self._reachability.forget(upstream)
         self._times.forget(upstream)
+        self._outliers.forget(upstream)
 
     def _is_dead(self, upstream: Upstream) -> bool:
         return self._reachability.verdict(upstream) is Verdict.DEAD
--- a/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
@@ -7,6 +7,7 @@
 import socket
 import zlib
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -16,6 +17,9 @@
 
 MS_PER_S = 1000
 _PORT_MAX = 65535
+# More than one entry VM sees between two reports.
+_FAILURES_MAX = 100_000
+_EJECTION_MS_MAX = 3_600_000
 
 
 class Item(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -67,6 +71,34 @@
     control: str
 
 
+class FailureCount(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests an upstream failed."""
+
+    upstream: str
+    failures: Annotated[int, msgspec.Meta(ge=1, le=_FAILURES_MAX)]
+
+
+class FailureReport(msgspec.Struct, frozen=True, tag='failure_report'):
+    """Failures of requests since the last report.
+
+    Attributes:
+        vm: Name of the entry VM that reports.
+        control: Its control address.
+        counts: Failures, by upstream.
+    """
+
+    vm: str
+    control: str
+    counts: list[FailureCount]
+
+
+class EjectedUpstream(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that is the last choice, and for how long."""
+
+    upstream: str
+    left_ms: Annotated[int, msgspec.Meta(ge=0, le=_EJECTION_MS_MAX)]
+
+
 class Announcement(msgspec.Struct, frozen=True, tag='announcement'):
     """What a publisher knows.
 
@@ -81,6 +113,7 @@
         fleet: The sum over all publishers that it hears.
         before: The items are all changes after this revision.
         items: These changes.
+        ejections: Ejected upstreams; only heartbeats carry them.
     """
 
     vm: str
@@ -92,6 +125,7 @@
     fleet: int
     before: int
     items: list[Item] = []
+    ejections: list[EjectedUpstream] = []
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag='snapshot'):
@@ -113,7 +147,9 @@
 
 CatchUp = Snapshot | Delta
 
-Datagram = Subscription | Unsubscription | Referral | Announcement
+Datagram = (
+    Subscription | Unsubscription | Referral | Announcement | FailureReport
+)
 
 _DATAGRAM_DECODER = msgspec.msgpack.Decoder(Datagram)
 _CATCH_UP_DECODER = msgspec.msgpack.Decoder(CatchUp)
--- a/packages/token/src/hibiscushatch_token/knowledge/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -14,12 +14,13 @@
 import collections
 import itertools
 import zlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 import msgspec
 
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token import http1
+from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Changes
@@ -34,6 +35,8 @@
 _DATAGRAM_BYTES_MAX = 1400
 # Changes that subscribers can still fetch; an entry has some 250 bytes.
 _LOGGED_CHANGES = 2000
+# Some 20 bytes each, in one datagram.
+_ANNOUNCED_EJECTIONS_MAX = 50
 
 Address = tuple[str, int]
 SendDatagram = Callable[[bytes, Address], None]
@@ -65,6 +68,7 @@
         replica: What is announced.
         clock: Monotonic seconds.
         send: Sends a datagram.
+        detector: Tells which upstreams are ejected.
         count_fleet: Counts the entry VMs.
     """
 
@@ -74,12 +78,14 @@
         replica: StoreReplica,
         clock: Callable[[], float],
         send: SendDatagram,
+        detector: OutlierDetector,
         count_fleet: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._replica = replica
         self._clock = clock
         self._send = send
+        self._detector = detector
         self._count_fleet = count_fleet
         self._subscribers: dict[Address, _Subscriber] = {}
         self._log: collections.deque[WatchEvent] = collections.deque()
@@ -231,14 +237,25 @@
 
     def _heartbeat(self) -> bytes:
         revision = self._replica.revision
-        return self._encode(revision, revision, [])
+        longest = sorted(self._detector.ejected(), key=_left_s, reverse=True)
+        ejections = [
+            peer_messages.EjectedUpstream(
+                name, int(left_s * peer_messages.MS_PER_S)
+            )
+            for name, left_s in longest[:_ANNOUNCED_EJECTIONS_MAX]
+        ]
+        return self._encode(revision, revision, [], ejections)
 
     def _send_to_all(self, datagram: bytes) -> None:
         for address in self._subscribers:
             self._send(datagram, address)
 
     def _encode(
-        self, before: int, revision: int, items: list[peer_messages.Item]
+        self,
+        before: int,
+        revision: int,
+        items: list[peer_messages.Item],
+        ejections: Sequence[peer_messages.EjectedUpstream] = (),
     ) -> bytes:
         return peer_messages.encode(
             peer_messages.Announcement(
@@ -251,6 +268,7 @@
                 self._count_fleet(),
                 before,
                 items,
+                list(ejections),
             )
         )
 
@@ -258,5 +276,9 @@
         return int(self._replica.age_s * peer_messages.MS_PER_S)
 
 
+def _left_s(ejected: tuple[str, float]) -> float:
+    return ejected[1]
+
+
 def _revision_of(event: WatchEvent) -> int:
     return event.mod_revision
--- a/packages/token/src/hibiscushatch_token/knowledge/registry.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/registry.py
@@ -53,6 +53,10 @@
         """Return the listed upstreams of a service, draining ones too."""
         return self._by_service.get(service, {}).values()
 
+    def find(self, name: str) -> Upstream | None:
+        """Find a listed upstream by its name."""
+        return self._listed.get(name)
+
     def by_token(self, token: int) -> Upstream | None:
         """Find the upstream of a flow, also one that was removed lately."""
         return self._by_token.get(token)
--- a/packages/token/src/hibiscushatch_token/knowledge/replication.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -3,7 +3,9 @@
 from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
 from hibiscushatch_token import http1
 from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
 from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.peer_socket import PeerSocket
 from hibiscushatch_token.knowledge.publisher import Publisher
@@ -22,6 +24,7 @@
         store: The platform's store.
         documents: Reads what lies in the store.
         known: Told what is new.
+        outliers: Told what peers report of upstreams.
         environment: Counters, clock and randomness.
     """
 
@@ -31,12 +34,14 @@
         store: Store,
         documents: Documents,
         known: KnownState,
+        outliers: OutlierDetector,
         environment: Environment,
     ) -> None:
         clock = environment.clock
         counters = environment.counters
         control = socket_address(settings.control)
         self._settings = settings
+        self._outliers = outliers
         udp_socket = open_udp_socket(control)
         peers = PeerSocket(udp_socket, counters)
         self.receiver = UdpReceiver(udp_socket, peers.handle, counters)
@@ -62,12 +67,22 @@
             self.replica,
             clock,
             peers.send,
+            outliers,
             self.subscriber.count_fleet,
         )
+        self.failures = FailureReporter(
+            settings,
+            outliers,
+            clock,
+            peers.send,
+            lambda: self.subscriber.followed,
+            self._ejected,
+        )
         peers.connect(peer_messages.Subscription, self.publisher.subscribed)
         peers.connect(peer_messages.Unsubscription, self.publisher.unsubscribed)
         peers.connect(peer_messages.Referral, self.subscriber.referred)
-        peers.connect(peer_messages.Announcement, self.subscriber.announced)
+        peers.connect(peer_messages.Announcement, self._announced)
+        peers.connect(peer_messages.FailureReport, self.failures.received)
         self.reader = StoreReader(
             settings.store,
             store,
@@ -89,6 +104,18 @@
     def _changed(self, before: int, changes: Changes) -> None:
         self.publisher.changed(before, changes)
 
+    def _announced(self, message: peer_messages.Announcement) -> None:
+        # A publisher comes to its own verdicts: it gets all reports.
+        if not self._settings.is_publisher:
+            for one in message.ejections:
+                left_s = one.left_ms / peer_messages.MS_PER_S
+                self._outliers.take_over(one.upstream, left_s, message.control)
+        self.subscriber.announced(message)
+
+    def _ejected(self) -> None:
+        if self._settings.is_publisher:
+            self.publisher.announce()
+
     def _renewed(self) -> None:
         self.publisher.announce()
 
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -8,6 +8,7 @@
 
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 _Fraction = Annotated[float, msgspec.Meta(ge=0, le=100)]
+_Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _Count = Annotated[int, msgspec.Meta(ge=1)]
 _Address = Annotated[
     str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
@@ -56,8 +57,8 @@
         cold_cost: What a cold upstream costs, in flows per slot.
         doubt_cost: What an upstream costs that left an opening packet
             unanswered a moment ago, in flows per slot.
-        slow_cost: What an upstream costs that answers requests slowly, in
-            flows per slot.
+        slow_cost: What an upstream costs that answers requests slowly or is
+            ejected, in flows per slot.
         retry_after_s: When an opening packet without an answer is sent to
             another upstream; the longest round trip between caller and
             upstream is 20 ms.
@@ -92,6 +93,37 @@
     elsewhere: _Count = 2
 
 
+class OutlierSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """When an upstream is ejected whose requests fail.
+
+    Attributes:
+        failures_min: How many failures of late an outlier has beyond a
+            multiple of what is usual for the service; one may be chance.
+        failures_ratio: That multiple.
+        half_life_s: Time in which half of the failures are forgotten; a
+            service with 100 requests a second at 7 upstreams gives ten of
+            each.
+        ejection_min_s: How long a first ejection lasts.
+        ejection_max_s: How long an ejection lasts at most.
+        ejection_memory_s: How long after its end the next one is longer.
+        probation_s: How long after its end one failure ejects again.
+        share_max: The part of a service's upstreams that may be ejected.
+        domain_share_max: The part of its upstreams in one failure domain.
+    """
+
+    failures_min: _Fraction = 2.0
+    failures_ratio: _Fraction = 4.0
+    half_life_s: _Seconds = 1.0
+    ejection_min_s: _Seconds = 4.0
+    ejection_max_s: _Seconds = 30.0
+    ejection_memory_s: _Seconds = 30.0
+    probation_s: _Seconds = 2.0
+    share_max: _Part = 1 / 3
+    domain_share_max: _Part = 0.5
+
+
 class TokenNodeSettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -110,6 +142,7 @@
         store: The platform's store.
         relays: How many entry VMs a publisher tells of changes itself.
         placement: How new flows are placed.
+        outliers: When an upstream is ejected whose requests fail.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time that the fabric takes to notice that the readiness
             check fails: two checks at two a second, and packets under way.
@@ -130,6 +163,7 @@
     store: StoreSettings
     relays: RelaySettings = RelaySettings()
     placement: PlacementSettings = PlacementSettings()
+    outliers: OutlierSettings = OutlierSettings()
     stop_grace_s: _Seconds = 6.0
     rotation_s: _Seconds = 1.4
     flow_age_max_s: _Seconds = 60.0
--- a/packages/token/src/hibiscushatch_token/status.py
+++ b/packages/token/src/hibiscushatch_token/status.py
@@ -18,6 +18,7 @@
         cold: It has just started.
         verdict: Whether it accepts flows from here.
         slow: It answered requests from here much more slowly than usual.
+        ejected: Its requests fail much oftener than those of others.
         open_flows: Flows that this entry VM has opened on it.
     """
 
@@ -28,6 +29,7 @@
     cold: bool
     verdict: str
     slow: bool
+    ejected: bool
     open_flows: int
 
 
--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -127,6 +127,7 @@
         """
         now = self._clock()
         answer_s = now - record.placed_at
+        record.answer_s = answer_s
         self._flows.answer(record, upstream)
         self._reachability.answered(upstream, answer_s, now)
         if not record.tried:
--- a/packages/token/src/hibiscushatch_token/traffic/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_table.py
@@ -25,6 +25,7 @@
         is_retried: It was placed again since the caller's latest packet.
         is_failed: The missing answer of its upstream has been counted.
         tried: Names of upstreams that did not answer.
+        answer_s: How long its upstream took to accept it, in seconds.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         'is_retried',
         'is_failed',
         'tried',
+        'answer_s',
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         self.is_retried = False
         self.is_failed = False
         self.tried: tuple[str, ...] = ()
+        self.answer_s = 0.0
 
     @property
     def tried_by_now(self) -> tuple[str, ...]:
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -4,6 +4,7 @@
 
 from hibiscushatch_token import status
 from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.health.reachability import Reachability
 from hibiscushatch_token.health.request_watch import RequestWatch
 from hibiscushatch_token.health.response_times import ResponseTimes
@@ -44,9 +45,14 @@
         self.flows = FlowTable()
         self.reachability = Reachability(environment.randomness)
         self.times = ResponseTimes(clock)
-        self.requests = RequestWatch(self.times, clock)
+        self.requests = RequestWatch(self.times, environment.counters, clock)
+        self.outliers = OutlierDetector(settings.outliers, registry, clock)
         self.verdicts = UpstreamVerdicts(
-            settings.placement, self.reachability, self.times, clock
+            settings.placement,
+            self.reachability,
+            self.times,
+            self.outliers,
+            clock,
         )
         self._allowance = ColdAllowance(environment, self.known)
         self.placement = Placement(
@@ -88,6 +94,7 @@
                 cold=registry.is_cold(upstream),
                 verdict=self.verdicts.verdict(upstream).value,
                 slow=self.verdicts.is_slow(upstream),
+                ejected=self.outliers.is_ejected(upstream.name),
                 open_flows=self.flows.outstanding(upstream.name),
             )
 
--- a/packages/token/tests/backlog_test.py
+++ b/packages/token/tests/backlog_test.py
@@ -9,11 +9,9 @@
 import collections
 import dataclasses
 import functools
-import heapq
-import itertools
-from collections.abc import Callable
 
-from token_fixtures import LAST, FakeClock, Stage, stage, upstream
+from load_fixtures import Events
+from token_fixtures import LAST, Stage, stage, upstream
 
 VMS = 3
 UPSTREAMS = tuple(f'u{index}' for index in range(5))
@@ -49,57 +47,41 @@
 
 
 class Load:
-    """Events in order of time."""
+    """Callers, entry VMs and upstreams."""
 
     def __init__(self) -> None:
-        self.clock = FakeClock()
-        self.started_at = self.clock.now
+        self.events = Events()
         self.vms = [
             stage(
                 *(upstream(name) for name in UPSTREAMS),
                 fleet=VMS,
-                clock=self.clock,
+                clock=self.events.clock,
             )
             for _ in range(VMS)
         ]
         self.callers: dict[str, Caller] = {}
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._busy: collections.Counter[str] = collections.Counter()
         self._queues: dict[str, collections.deque[Caller]] = {
             name: collections.deque() for name in UPSTREAMS
         }
 
-    @property
-    def now(self) -> float:
-        """Seconds since the start."""
-        return self.clock.now - self.started_at
-
-    def after(self, delay_s: float, act: Callable[[], None]) -> None:
-        """Plan an event."""
-        event = (self.clock.now + delay_s, next(self._order), act)
-        heapq.heappush(self._events, event)
-
     def play(self) -> list[Caller]:
         """Run until all callers were served or have given up."""
         for index in range(int(END_S / GAP_S)):
             caller = Caller(f'{index:04}', index * GAP_S, self.vms[index % VMS])
             self.callers[caller.flow] = caller
             for copy, delay_s in enumerate(OPENING_TIMES_S):
-                self.after(
+                self.events.after(
                     caller.came_at + delay_s,
                     functools.partial(self._open, caller, copy),
                 )
         for vm in self.vms:
-            self.after(LOOK_S, functools.partial(self._look, vm))
-        while self._events and self.now < END_S + TIMEOUT_S:
-            happens_at, _, act = heapq.heappop(self._events)
-            self.clock.now = happens_at
-            act()
+            self.events.every(LOOK_S, functools.partial(self._look, vm))
+        self.events.play(END_S + TIMEOUT_S)
         return list(self.callers.values())
 
     def _open(self, caller: Caller, copy: int) -> None:
-        if self.now >= RETURN_S and not caller.upstream:
+        if self.events.now >= RETURN_S and not caller.upstream:
             caller.vm.open(caller.flow, copy)
             self._take_placed(caller.vm)
 
@@ -107,7 +89,6 @@
         vm.opener.retry_unanswered()
         vm.opener.place_late()
         self._take_placed(vm)
-        self.after(LOOK_S, functools.partial(self._look, vm))
 
     def _take_placed(self, vm: Stage) -> None:
         for datagram, target in vm.sent:
@@ -115,7 +96,7 @@
             caller = self.callers[datagram[8:12].decode()]
             if target[0] in UPSTREAMS and not caller.upstream:
                 caller.upstream = target[0]
-                self.after(
+                self.events.after(
                     ROUND_TRIP_S, functools.partial(self._arrive, caller)
                 )
         vm.sent.clear()
@@ -130,10 +111,10 @@
         while self._queues[name] and self._busy[name] < SLOTS:
             self._busy[name] += 1
             caller = self._queues[name].popleft()
-            self.after(WORK_S, functools.partial(self._serve, caller))
+            self.events.after(WORK_S, functools.partial(self._serve, caller))
 
     def _serve(self, caller: Caller) -> None:
-        caller.served_at = self.now
+        caller.served_at = self.events.now
         self._busy[caller.upstream] -= 1
         token = upstream(caller.upstream).token
         caller.vm.send(caller.flow, token, LAST)
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -7,10 +7,12 @@
 from token_fixtures import change, listing, replica_stage
 
 from hibiscushatch_core.ports import WatchEvent
+from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.publisher import Publisher
 from hibiscushatch_token.knowledge.subscriber import Subscriber
 from hibiscushatch_token.ports import Changes
+from hibiscushatch_token.settings import OutlierSettings
 
 NEAR = '127.0.0.1:31'
 FAR = '127.0.0.1:32'
@@ -23,11 +25,15 @@
     def __init__(self) -> None:
         self.scene = replica_stage()
         self.sent: list[peer_messages.Announcement] = []
+        self.detector = OutlierDetector(
+            OutlierSettings(), self.scene.registry, self.scene.clock
+        )
         self.publisher = Publisher(
             fixtures.settings(control=NEAR, publishers=[NEAR, FAR]),
             self.scene.replica,
             self.scene.clock,
             self._send,
+            self.detector,
             self._count_fleet,
         )
 
--- a/packages/token/tests/response_times_test.py
+++ b/packages/token/tests/response_times_test.py
@@ -4,18 +4,32 @@
 
 from token_fixtures import LAST, PAYLOAD, FakeClock, Stage, stage, upstream
 
+from hibiscushatch_token.health.request_signals import (
+    OverdueSignal,
+    RequestTimes,
+)
 from hibiscushatch_token.health.response_times import ResponseTimes
 
 USUAL_S = 0.05
 SLOW_S = 0.4
 
 
+def response(seconds: float) -> RequestTimes:
+    """Build the times of a request that was answered."""
+    return RequestTimes(seconds, 0, is_answered=True)
+
+
+def respond(times: ResponseTimes, name: str, seconds: float) -> None:
+    """Count a request of an upstream."""
+    times.responded(upstream(name), response(seconds))
+
+
 def warm_times(clock: FakeClock, *names: str) -> ResponseTimes:
     """Build times with usual requests of each upstream."""
     times = ResponseTimes(clock)
     for _ in range(10):
         for name in names:
-            times.responded(upstream(name), USUAL_S)
+            respond(times, name, USUAL_S)
     return times
 
 
@@ -36,21 +50,21 @@
     times = warm_times(clock, 'a1', 'a2', 'a3')
     slow = upstream('a1')
     for pause_s in (3, 6, 12, 12):
-        times.responded(slow, SLOW_S)
+        respond(times, 'a1', SLOW_S)
         assert times.is_slow(slow)
         clock.now += pause_s - 0.1
         assert times.is_slow(slow)
         clock.now += 0.2
         assert not times.is_slow(slow)
-    times.responded(slow, SLOW_S)
-    times.responded(slow, USUAL_S)
+    respond(times, 'a1', SLOW_S)
+    respond(times, 'a1', USUAL_S)
     assert not times.is_slow(slow)
 
 
 def test_nothing_is_slow_before_it_is_known_what_is_usual() -> None:
     times = ResponseTimes(FakeClock())
-    times.responded(upstream('a1'), USUAL_S)
-    times.responded(upstream('a1'), SLOW_S)
+    respond(times, 'a1', USUAL_S)
+    respond(times, 'a1', SLOW_S)
     assert not times.is_slow(upstream('a1'))
 
 
@@ -58,9 +72,9 @@
     names = ('a1', 'a2', 'a3')
     times = warm_times(FakeClock(), *names)
     upstreams = [upstream(name) for name in names]
-    times.responded(upstreams[0], SLOW_S)
+    respond(times, 'a1', SLOW_S)
     assert times.slow_among(upstreams) == {'a1'}
-    times.responded(upstreams[1], SLOW_S)
+    respond(times, 'a2', SLOW_S)
     assert times.slow_among(upstreams) == frozenset()
 
 
@@ -68,8 +82,8 @@
     times = warm_times(FakeClock(), 'a1', 'a2')
     for index in range(100):
         slow = index % 5 == 0
-        times.responded(upstream('a1'), SLOW_S if slow else USUAL_S)
-    assert times.slow_after_s('booking') < SLOW_S
+        respond(times, 'a1', SLOW_S if slow else USUAL_S)
+    assert OverdueSignal().after_s(times.usual('booking')) < SLOW_S
 
 
 def test_callers_are_spared_an_upstream_that_turned_slow() -> None:
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -328,7 +328,12 @@
         node = CapacityNode(UPSTREAM_SIZES[0])
         self.sent_bytes = 0
         self.publisher = Publisher(
-            node.settings, node.replica, time.monotonic, self._send, int
+            node.settings,
+            node.replica,
+            time.monotonic,
+            self._send,
+            node.outliers,
+            int,
         )
         for index in range(subscribers):
             self.publisher.subscribed(
--- a/packages/tools/src/hibiscushatch_tools/capacity_node.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_node.py
@@ -121,6 +121,7 @@
         path = PacketPath(self.settings, environment, _swallow, _fleet)
         self.flows = path.flows
         self.opener = path.opener
+        self.outliers = path.outliers
         self._forwarder = path.forwarder
         routing = path.known.routing
         route = Route((WeightedService(SERVICE, 1),), aim_s=1, timeout_s=2)
--- a/packages/tools/tests/operations_page_test.py
+++ b/packages/tools/tests/operations_page_test.py
@@ -20,6 +20,7 @@
     ('Drop reasons', reasons.DropReason),
     ('Refusal reasons', reasons.RefusalReason),
     ('Retry reasons', reasons.RetryReason),
+    ('Failure signals', reasons.FailureSignal),
 )
 ROW = re.compile(r'^\| `([a-z0-9_]+)` \| (.+?) \| (.+) \|$')
 LOG_FIELD = re.compile("'([a-z_]+)': ")
@@ -60,6 +61,7 @@
         settings.StoreSettings,
         settings.PlacementSettings,
         settings.RelaySettings,
+        settings.OutlierSettings,
         status.Status,
     ):
         yield from model.__struct_fields__
