Let one entry VM read the store, and a fleet try it in turns

Cause: all three publishers watched the store; each start of an entry VM listed it in full; and while the store was away, every entry VM that nobody told asked it twice a second, which can't help.

Change: ReadingTurn decides. The first publisher reads; the next ones take over after 1.5 and 1.75 s without being told; others after 2 s, and where a publisher or relay is heard that can't read, at 20 tries a second for the whole fleet. Who succeeds tells the publishers. First listings may be old (a tenth of the price) and prove nothing; without a configuration in them they are followed by a fresh one, and an entry VM is not ready before it has a configuration. Revisions of pages may go back then, so the least one counts. A first listing is one log line (the 250 lines took 40 ms of a start on a small machine).

Also: an upstream that was left out for another one's token gets flows when that one leaves; tokens are not copied every five seconds when none has expired.

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -245,7 +245,7 @@
         return self._replication.fleet
 
     def _is_informed(self) -> bool:
-        return self._replication.replica.revision > 0
+        return self._replication.replica.has_config
 
     def _note_reload(self) -> None:
         # Sockets and publishers are set up once, at the start.
--- a/packages/token/src/hibiscushatch_token/knowledge/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -14,7 +14,13 @@
 import collections
 import itertools
 import zlib
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Sequence,
+)
 
 import msgspec
 
@@ -88,6 +94,7 @@
         self._detector = detector
         self._count_fleet = count_fleet
         self._subscribers: dict[Address, _Subscriber] = {}
+        self._announced_at = float('-inf')
         self._log: collections.deque[WatchEvent] = collections.deque()
         # All changes after this revision are in the log.
         self._logged_after = 0
@@ -111,7 +118,9 @@
             for address, subscriber in list(self._subscribers.items()):
                 if subscriber.heard_at < oldest:
                     self._subscribers.pop(address)
-            if self._settings.is_publisher:
+            # One that passes on what another publisher told is in step with it.
+            is_due = self._clock() - self._announced_at > HEARTBEAT_S / 2
+            if self._settings.is_publisher and is_due:
                 self.announce()
 
     def subscribed(self, message: peer_messages.Subscription) -> None:
@@ -149,20 +158,34 @@
             # with this one would hold nothing else.
             self.announce()
             return
-        events = sorted(changes.events, key=_revision_of)
-        self._note(before, events)
-        if self._subscribers:
-            groups = [
-                list(group)
-                for _, group in itertools.groupby(events, _revision_of)
-            ]
-            for datagram in self._datagrams(before, groups, changes.revision):
-                self._send_to_all(datagram)
+        self._note(before, sorted(changes.events, key=_revision_of))
+        self.tell(self._subscribers, before, changes)
+
+    def tell(
+        self, addresses: Collection[Address], before: int, changes: Changes
+    ) -> None:
+        """Tell entry VMs what was read, or that nothing has changed.
+
+        Args:
+            addresses: Their control addresses.
+            before: Revision of the replica before the changes.
+            changes: What was new.
+        """
+        if not addresses:
+            return
+        datagrams: Iterable[bytes] = (self._heartbeat(),)
+        if before and changes.events:
+            datagrams = self._changes(before, changes)
+        for datagram in datagrams:
+            for address in addresses:
+                self._send(datagram, address)
 
     def announce(self) -> None:
         """Send the present state to all subscribers."""
-        if self._replica.revision and self._subscribers:
-            self._send_to_all(self._heartbeat())
+        self._announced_at = self._clock()
+        if self._replica.revision:
+            revision = self._replica.revision
+            self.tell(self._subscribers, revision, Changes((), revision))
 
     def snapshot(self, query: bytes) -> http1.Response:
         """Answer a request for what a reader is missing.
@@ -215,6 +238,13 @@
         while len(self._log) > _LOGGED_CHANGES:
             self._logged_after = self._log.popleft().mod_revision
 
+    def _changes(self, before: int, changes: Changes) -> Iterator[bytes]:
+        events = sorted(changes.events, key=_revision_of)
+        groups = [
+            list(group) for _, group in itertools.groupby(events, _revision_of)
+        ]
+        return self._datagrams(before, groups, changes.revision)
+
     def _datagrams(
         self, before: int, groups: list[list[WatchEvent]], revision: int
     ) -> Iterator[bytes]:
@@ -246,10 +276,6 @@
         ]
         return self._encode(revision, revision, [], ejections)
 
-    def _send_to_all(self, datagram: bytes) -> None:
-        for address in self._subscribers:
-            self._send(datagram, address)
-
     def _encode(
         self,
         before: int,
--- a/packages/token/src/hibiscushatch_token/knowledge/registry.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/registry.py
@@ -32,6 +32,8 @@
         self._by_token: dict[int, Upstream] = {}
         self._cold_until: dict[str, float] = {}
         self._removed_at: dict[str, float] = {}
+        # Listed upstreams whose token another one has.
+        self._left_out: set[str] = set()
         self._revision = 0
 
     @property
@@ -81,20 +83,26 @@
         if upstream is None:
             self._remove(name, known, revision)
             return
-        if known is None or known.incarnation != upstream.incarnation:
-            self._forget(upstream)
-        if upstream.cold_s > 0:
-            self._cold_until[name] = self._clock() + upstream.cold_s
-        self._listed[name] = upstream
-        self._removed_at.pop(name, None)
-        if known is not None and known.service != upstream.service:
-            self._by_service[known.service].pop(name, None)
-        if self._takes_token(upstream):
-            self._by_token[upstream.token] = upstream
-            self._by_service.setdefault(upstream.service, {})[name] = upstream
+        self._put(upstream, known)
         if known is None or known.is_draining != upstream.is_draining:
             _log_upstream('upstream listed', upstream, revision)
 
+    def load(self, upstreams: Iterable[Upstream], revision: int) -> None:
+        """Apply a first listing, with one log line for all of it."""
+        self._revision = revision
+        for upstream in upstreams:
+            self._put(upstream, None)
+        listed = self._listed.values()
+        _log.info(
+            'upstreams listed',
+            extra={
+                'upstreams': len(listed),
+                'draining': sum(one.is_draining for one in listed),
+                'services': len(self._by_service),
+                'revision': revision,
+            },
+        )
+
     def expire(self) -> None:
         """Forget tokens of upstreams removed longer ago than flows live."""
         now = self._clock()
@@ -107,10 +115,28 @@
         expired = {name for name, at in self._removed_at.items() if at < oldest}
         for name in expired:
             self._removed_at.pop(name)
-        for token, upstream in list(self._by_token.items()):
-            if upstream.name in expired:
-                self._by_token.pop(token)
-                self._forget(upstream)
+        if expired:
+            self._forget_tokens(expired)
+
+    def _forget_tokens(self, names: set[str]) -> None:
+        gone = [one for one in self._by_token.values() if one.name in names]
+        for upstream in gone:
+            self._by_token.pop(upstream.token)
+            self._forget(upstream)
+
+    def _put(self, upstream: Upstream, known: Upstream | None) -> None:
+        name = upstream.name
+        if known is None or known.incarnation != upstream.incarnation:
+            self._forget(upstream)
+        if upstream.cold_s > 0:
+            self._cold_until[name] = self._clock() + upstream.cold_s
+        self._listed[name] = upstream
+        self._removed_at.pop(name, None)
+        if known is not None and known.service != upstream.service:
+            self._by_service[known.service].pop(name, None)
+        if self._takes_token(upstream):
+            self._by_token[upstream.token] = upstream
+            self._by_service.setdefault(upstream.service, {})[name] = upstream
 
     def _remove(self, name: str, known: Upstream | None, revision: int) -> None:
         if known is None:
@@ -119,6 +145,12 @@
         self._removed_at[name] = self._clock()
         self._by_service[known.service].pop(name, None)
         _log_upstream('upstream removed', known, revision)
+        self._left_out.discard(name)
+        for other in sorted(self._left_out):
+            upstream = self._listed[other]
+            if upstream.token == known.token:
+                self._left_out.discard(other)
+                self._put(upstream, upstream)
 
     def _takes_token(self, upstream: Upstream) -> bool:
         """Settle which of two upstreams with one token gets flows.
@@ -134,6 +166,7 @@
         is_first = upstream.name < holder.name
         kept, left_out = (upstream, holder) if is_first else (holder, upstream)
         self._by_service.get(left_out.service, {}).pop(left_out.name, None)
+        self._left_out.add(left_out.name)
         _log.warning(
             'two upstreams with one token',
             extra={
--- a/packages/token/src/hibiscushatch_token/knowledge/replica.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replica.py
@@ -59,6 +59,11 @@
         """Revision of the store that the items reflect; 0 before any."""
         return self._revision
 
+    @property
+    def has_config(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._routing.config.version > 0
+
     @property
     def items(self) -> Iterable[StoredValue]:
         """All items."""
@@ -148,9 +153,15 @@
                 self._items[event.key] = StoredValue(
                     event.key, event.value, event.mod_revision
                 )
+        is_first = not self._revision
         self._revision = revision
         self._apply_operator(events, revision)
-        for name, upstream in self._documents.registered(events):
+        registered = self._documents.registered(events)
+        if is_first:
+            listed = (upstream for _, upstream in registered)
+            self._registry.load(filter(None, listed), revision)
+            return Changes(tuple(events), revision)
+        for name, upstream in registered:
             if upstream is None and self._may_have_lapsed(name):
                 self._missing[name] = revision
             else:
--- a/packages/token/src/hibiscushatch_token/knowledge/replication.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -9,6 +9,7 @@
 from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.peer_socket import PeerSocket
 from hibiscushatch_token.knowledge.publisher import Publisher
+from hibiscushatch_token.knowledge.reading_turn import ReadingTurn
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.knowledge.store_reader import StoreReader
 from hibiscushatch_token.knowledge.subscriber import SNAPSHOT_PATH, Subscriber
@@ -83,14 +84,21 @@
         peers.connect(peer_messages.Referral, self.subscriber.referred)
         peers.connect(peer_messages.Announcement, self._announced)
         peers.connect(peer_messages.FailureReport, self.failures.received)
+        self._turn = ReadingTurn(
+            settings,
+            self.replica,
+            self.subscriber.hears_source,
+            self._count_fleet,
+            environment.randomness,
+        )
         self.reader = StoreReader(
             settings.store,
             store,
             self.replica,
             counters,
-            environment.randomness,
-            settings.is_publisher,
+            self._turn,
             self._changed,
+            self._proved,
         )
         self.server = http1.Server(
             control, {SNAPSHOT_PATH.encode(): self.publisher.snapshot}
@@ -99,8 +107,18 @@
     @property
     def fleet(self) -> int:
         """Number of entry VMs as far as it is known; 0 when it is not."""
+        return self._count_fleet()
+
+    def _count_fleet(self) -> int:
         return max(self.subscriber.fleet, self.subscriber.count_fleet())
 
+    def _proved(self, before: int, changes: Changes) -> None:
+        # Publishers that could not read the store tell the others.
+        settings = self._settings
+        if not settings.is_publisher:
+            addresses = [socket_address(one) for one in settings.publishers]
+            self.publisher.tell(addresses, before, changes)
+
     def _changed(self, before: int, changes: Changes) -> None:
         self.publisher.changed(before, changes)
 
@@ -110,6 +128,11 @@
             for one in message.ejections:
                 left_s = one.left_ms / peer_messages.MS_PER_S
                 self._outliers.take_over(one.upstream, left_s, message.control)
+        if (
+            message.age_ms
+            <= self._settings.store.fresh_s * peer_messages.MS_PER_S
+        ):
+            self._turn.told(message.control)
         self.subscriber.announced(message)
 
     def _ejected(self) -> None:
--- a/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -1,19 +1,20 @@
 """Reads the platform's store, where this entry VM has to.
 
-A publisher always reads; another entry VM reads when no publisher has told it
-lately that it is up to date. Reading means a listing at first and after lost
-history, and watches from then on, which go on from the replica's revision
-wherever that came from.
+Whose turn it is to read is in reading_turn. Reading means a listing at first
+and after lost history, and watches from then on, which go on from the replica's
+revision wherever that came from. The first listing may be some seconds old: a
+process that has just started learns what came after it from a publisher or by
+its first watch, and the whole fleet may start at once.
 """
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import PlatformError
 from hibiscushatch_core.reasons import RetryReason
+from hibiscushatch_token.knowledge.reading_turn import ReadingTurn
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Changes, HistoryLostError, Store
 from hibiscushatch_token.settings import StoreSettings
@@ -32,9 +33,10 @@
         store: The store.
         replica: What is kept up to date.
         counters: Counts of this process.
-        randomness: Source of jitter.
-        is_publisher: Whether others rely on this entry VM.
+        turn: Tells when to read.
         changed: Called with the revision before changes and the changes.
+        proved: Called likewise when that has shown that the replica is up to
+            date.
     """
 
     def __init__(
@@ -43,17 +45,17 @@
         store: Store,
         replica: StoreReplica,
         counters: Counters,
-        randomness: random.Random,
-        is_publisher: bool,
+        turn: ReadingTurn,
         changed: Callable[[int, Changes], None],
+        proved: Callable[[int, Changes], None],
     ) -> None:
         self._settings = settings
         self._store = store
         self._replica = replica
         self._counters = counters
-        self._randomness = randomness
-        self._is_publisher = is_publisher
+        self._turn = turn
         self._changed = changed
+        self._proved = proved
         self._pause_s = settings.retry_min_s
         self._is_lost = False
         self._has_history = True
@@ -61,7 +63,7 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            if not self._has_to_read():
+            if not self._turn.has_come():
                 await asyncio.sleep(_IDLE_S)
                 continue
             try:
@@ -73,11 +75,6 @@
                 self._note_lost(error, RetryReason.PLATFORM_UNAVAILABLE)
                 await self._pause()
 
-    def _has_to_read(self) -> bool:
-        if self._is_publisher or not self._replica.revision:
-            return True
-        return self._replica.age_s > self._settings.fresh_s
-
     async def _read(self) -> None:
         before = self._replica.revision
         self._counters.platform_calls += 1
@@ -86,18 +83,29 @@
                 before, self._settings.watch_wait_s
             )
             news = self._replica.merge_changes(before, changes)
-        else:
-            listing = await self._store.read_all()
-            news = self._replica.merge_listing(listing)
-            self._has_history = True
+            self._note_read(before, news, is_proof=True)
+            return
+        is_first = before == 0
+        listing = await self._store.read_all(may_be_old=is_first)
+        news = self._replica.merge_listing(listing)
+        # Without a configuration the first one is from before it was written.
+        self._has_history = not is_first or self._replica.has_config
+        self._note_read(before, news, is_proof=not is_first)
+
+    def _note_read(
+        self, before: int, news: Changes | None, is_proof: bool
+    ) -> None:
         self._note_regained()
-        self._replica.prove(0)
-        if news is not None:
-            self._changed(before, news)
+        if is_proof:
+            self._replica.prove(0)
+        if news is None:
+            return
+        self._changed(before, news)
+        if is_proof:
+            self._proved(before, news)
 
     async def _pause(self) -> None:
-        jitter = 0.5 + self._randomness.random()
-        await asyncio.sleep(self._pause_s * jitter)
+        await asyncio.sleep(self._turn.next_try_s(self._pause_s))
         longer = self._pause_s * _RETRY_GROWTH
         self._pause_s = min(self._settings.retry_max_s, longer)
 
--- a/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
@@ -58,8 +58,8 @@
         clock: Monotonic seconds.
         send: Sends a datagram.
         changed: Called with the revision before changes and the changes.
-        renewed: Called when a publisher has announced to this one, which is
-            none, that nothing changed.
+        renewed: Called when a publisher has announced that nothing changed,
+            and this one has to pass that on.
         count_served: Counts the entry VMs that this one tells of changes.
     """
 
@@ -109,6 +109,10 @@
             return 1 + self._count_served() + self.served_by_others()
         return self._announced_fleet
 
+    def hears_source(self) -> bool:
+        """Tell whether a publisher or a relay was heard a moment ago."""
+        return any(map(self._is_heard, self._sources.values()))
+
     def served_by_others(self) -> int:
         """Count the entry VMs that other publishers serve."""
         return sum(
@@ -150,8 +154,9 @@
             return
         age_s = message.age_ms / peer_messages.MS_PER_S
         if message.revision == before:
+            was_current = self._is_current
             self._replica.prove(age_s)
-            if self._is_to_pass_on(message):
+            if self._is_to_pass_on(message, was_current):
                 self._renewed()
         else:
             changes = self._replica.merge_changes(
@@ -178,11 +183,22 @@
             self._sources.setdefault(message.control, _Source())
         self._subscribe_to(message.control)
 
-    def _is_to_pass_on(self, message: peer_messages.Announcement) -> bool:
-        # A publisher's own heartbeats tell more than those of others.
+    @property
+    def _is_current(self) -> bool:
+        return self._replica.age_s <= self._settings.store.fresh_s
+
+    def _is_to_pass_on(
+        self, message: peer_messages.Announcement, was_current: bool
+    ) -> bool:
         settings = self._settings
-        is_relay = not settings.is_publisher
-        return is_relay and message.control in settings.publishers
+        if not settings.is_publisher:
+            return message.control in settings.publishers
+        # Publishers pass on what comes from earlier ones, so that nothing goes
+        # in circles, and what ends an outage.
+        is_end = self._is_current and not was_current
+        publishers = settings.publishers
+        rank = publishers.index(settings.control)
+        return is_end or message.control in publishers[:rank]
 
     def _forget_relay(self) -> None:
         if self._relay not in self._settings.publishers:
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -84,7 +84,8 @@
 
     Attributes:
         items: The items, by key.
-        revision: The store's revision that the answer reflects.
+        revision: All changes up to this revision of the store are in the
+            items.
     """
 
     items: tuple[StoredValue, ...]
@@ -107,8 +108,13 @@
     """The platform's store; each method raises PlatformUnavailableError."""
 
     @abc.abstractmethod
-    async def read_all(self) -> Listing:
-        """Read all items."""
+    async def read_all(self, may_be_old: bool) -> Listing:
+        """Read all items.
+
+        Args:
+            may_be_old: The answer may be some seconds old, and costs the
+                platform less.
+        """
 
     @abc.abstractmethod
     async def watch(self, revision: int, wait_s: float) -> Changes:
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -9,6 +9,7 @@
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 _Fraction = Annotated[float, msgspec.Meta(ge=0, le=100)]
 _Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Rate = Annotated[float, msgspec.Meta(gt=0, le=100_000)]
 _Count = Annotated[int, msgspec.Meta(ge=1)]
 _Address = Annotated[
     str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
@@ -25,10 +26,13 @@
         call_timeout_s: Time for one answer; the store answers in some
             milliseconds, and a slow one in up to half a second.
         watch_wait_s: Longest wait of a watch. It bounds how long a watch on
-            a connection that fell silent goes unnoticed.
+            a connection that fell silent goes unnoticed, and how old the
+            knowledge of a reader gets.
         fresh_s: An entry VM that nobody has told for this long that it is up
             to date reads the store itself; the shortest time in which a
             change has to be in force is 3 s.
+        tries_per_s: How often all entry VMs together try to read a store
+            that publishers can't read; one try in ten of its answers.
         outage_s: Time without reading the store after which entries may have
             lapsed meanwhile; they do after three heartbeats of an upstream.
         retry_min_s: First pause after a failed call.
@@ -39,8 +43,9 @@
 
     address: _Address
     call_timeout_s: _Seconds = 1.0
-    watch_wait_s: _Seconds = 1.5
+    watch_wait_s: _Seconds = 0.7
     fresh_s: _Seconds = 2.0
+    tries_per_s: _Rate = 20.0
     outage_s: _Seconds = 2.5
     retry_min_s: _Seconds = 0.1
     retry_max_s: _Seconds = 0.5
--- a/packages/token/tests/forwarder_test.py
+++ b/packages/token/tests/forwarder_test.py
@@ -111,3 +111,16 @@
         assert chosen == {'a1'}, order
         assert scene.answer('f000', 'a1') == 'a1'
         assert set(scene.registry.names) == {'a1', 'a2'}
+
+
+def test_an_upstream_gets_flows_when_the_other_one_of_its_token_leaves() -> (
+    None
+):
+    first = upstream('a1')
+    second = msgspec.structs.replace(upstream('a2'), token=first.token)
+    for order in ((first, second), (second, first)):
+        scene = stage(*order)
+        scene.registry.apply('a1', None, 2)
+        assert scene.open('f001') == 'a2', order
+        scene.registry.apply('a2', None, 3)
+        assert scene.open('f002') == '' or scene.sent[-1][0] == b'reset'
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -132,13 +132,16 @@
     def __init__(self) -> None:
         self.answers_calls = True
         self.listing = Listing((), 1)
+        self.old_listing: Listing | None = None
         self.changes: list[Changes | Exception] = []
         self.calls: list[str] = []
 
-    async def read_all(self) -> Listing:
+    async def read_all(self, may_be_old: bool) -> Listing:
         """Return the prepared listing."""
         await asyncio.sleep(0.01)
-        self.calls.append('list')
+        self.calls.append('old list' if may_be_old else 'list')
+        if may_be_old and self.old_listing is not None:
+            return self.old_listing
         return self.listing
 
     async def watch(self, revision: int, wait_s: float) -> Changes:
