Spare bytes between entry VMs: no echo, gathered changes, short catch-ups

Change: a catch-up without log holds the items written since and a checksum of all keys; only a reader whose keys differ then asks for them. What a publisher was told is not told to publishers. After changes the reader gathers the next ones for 50 ms.

--- a/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
@@ -136,6 +136,23 @@
     items: list[Item]
 
 
+class Refresh(msgspec.Struct, frozen=True, tag='refresh'):
+    """The items that were written after a revision, without deletions.
+
+    Attributes:
+        revision: Revision of the store that the items reflect.
+        age_ms: How long ago that was the newest one.
+        items: Items written after the revision that the reader asked for.
+        checksum: Of all keys; tells a reader that misses deletions that it
+            does.
+    """
+
+    revision: int
+    age_ms: int
+    items: list[Item]
+    checksum: int
+
+
 class Delta(msgspec.Struct, frozen=True, tag='delta'):
     """All changes after one revision and up to another."""
 
@@ -145,7 +162,7 @@
     items: list[Item]
 
 
-CatchUp = Snapshot | Delta
+CatchUp = Snapshot | Refresh | Delta
 
 Datagram = (
     Subscription | Unsubscription | Referral | Announcement | FailureReport
@@ -213,6 +230,11 @@
     ]
 
 
+def checksum_of_keys(keys: Iterable[str]) -> int:
+    """Return a checksum of a set of keys."""
+    return zlib.crc32('\n'.join(sorted(keys)).encode())
+
+
 def _decompress(compressed: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     message = decompressor.decompress(compressed, _MESSAGE_BYTES_MAX)
--- a/packages/token/src/hibiscushatch_token/knowledge/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -144,12 +144,14 @@
         """Send an entry VM no more announcements."""
         self._subscribers.pop(socket_address(message.control), None)
 
-    def changed(self, before: int, changes: Changes) -> None:
+    def changed(self, before: int, changes: Changes, is_told: bool) -> None:
         """Announce changes that have been merged into the replica.
 
         Args:
             before: Revision of the replica before them.
             changes: What was new.
+            is_told: They come from another entry VM, which has told all
+                publishers of them.
         """
         if not changes.events:
             return
@@ -159,7 +161,11 @@
             self.announce()
             return
         self._note(before, sorted(changes.events, key=_revision_of))
-        self.tell(self._subscribers, before, changes)
+        addresses = self._subscribers.keys()
+        if is_told:
+            publishers = map(socket_address, self._settings.publishers)
+            addresses -= set(publishers)
+        self.tell(addresses, before, changes)
 
     def tell(
         self, addresses: Collection[Address], before: int, changes: Changes
@@ -191,15 +197,19 @@
         """Answer a request for what a reader is missing.
 
         Args:
-            query: The revision that the reader has, as decimal digits.
+            query: The revision that the reader has, as decimal digits; then
+                ``&keys`` from a reader that misses deletions.
 
         Returns:
-            The changes since, or everything when the log is too short.
+            The changes since; without deletions when the log is too short;
+            everything when that is not enough.
         """
-        after = int(query) if query.isdigit() else 0
+        digits, _, option = query.partition(b'&')
+        after = int(digits) if digits.isdigit() else 0
+        message = self._catch_up(after, needs_keys=option == b'keys')
         return http1.Response(
             http1.OK,
-            peer_messages.encode(self._catch_up(after)),
+            peer_messages.encode(message),
             b'application/octet-stream',
         )
 
@@ -218,17 +228,29 @@
             referral = peer_messages.Referral(relays[chosen])
             self._send(peer_messages.encode(referral), address)
 
-    def _catch_up(self, after: int) -> peer_messages.CatchUp:
+    def _catch_up(self, after: int, needs_keys: bool) -> peer_messages.CatchUp:
         revision = self._replica.revision
         if self._log and self._logged_after <= after:
             missed = (one for one in self._log if one.mod_revision > after)
             return peer_messages.Delta(
                 after, revision, self._age_ms(), peer_messages.as_items(missed)
             )
-        return peer_messages.Snapshot(
+        if needs_keys or not after:
+            return peer_messages.Snapshot(
+                revision,
+                self._age_ms(),
+                peer_messages.stored_items(self._replica.items, after),
+            )
+        items = list(self._replica.items)
+        return peer_messages.Refresh(
             revision,
             self._age_ms(),
-            peer_messages.stored_items(self._replica.items, after),
+            [
+                peer_messages.Item(one.key, one.mod_revision, one.value)
+                for one in items
+                if one.mod_revision > after
+            ],
+            peer_messages.checksum_of_keys(one.key for one in items),
         )
 
     def _note(self, before: int, events: list[WatchEvent]) -> None:
--- a/packages/token/src/hibiscushatch_token/knowledge/replication.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -59,7 +59,7 @@
             self.replica,
             clock,
             peers.send,
-            self._changed,
+            self._told,
             self._renewed,
             self._count_served,
         )
@@ -120,7 +120,10 @@
             self.publisher.tell(addresses, before, changes)
 
     def _changed(self, before: int, changes: Changes) -> None:
-        self.publisher.changed(before, changes)
+        self.publisher.changed(before, changes, is_told=False)
+
+    def _told(self, before: int, changes: Changes) -> None:
+        self.publisher.changed(before, changes, is_told=True)
 
     def _announced(self, message: peer_messages.Announcement) -> None:
         # A publisher comes to its own verdicts: it gets all reports.
--- a/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -21,6 +21,8 @@
 
 _RETRY_GROWTH = 2.0
 _IDLE_S = 0.05
+# Changes that come in this time are read with one call and told together.
+_GATHER_S = 0.05
 
 _log = logging.getLogger(__name__)
 
@@ -84,6 +86,8 @@
             )
             news = self._replica.merge_changes(before, changes)
             self._note_read(before, news, is_proof=True)
+            if changes.events:
+                await asyncio.sleep(_GATHER_S)
             return
         is_first = before == 0
         listing = await self._store.read_all(may_be_old=is_first)
--- a/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
@@ -278,10 +278,15 @@
         before = self._replica.revision
         connection = ClientConnection(socket_address(peer))
         try:
-            response = await connection.call(
-                'GET', f'{SNAPSHOT_PATH}?{before}', b'', _SNAPSHOT_TIMEOUT_S
-            )
-            self._merge(before, response.body, peer)
+            for option in ('', '&keys'):
+                response = await connection.call(
+                    'GET',
+                    f'{SNAPSHOT_PATH}?{before}{option}',
+                    b'',
+                    _SNAPSHOT_TIMEOUT_S,
+                )
+                if self._merge(before, response.body, peer):
+                    break
         except (OSError, PeerError) as error:
             # The next announcement asks for it again.
             _log.info(
@@ -291,7 +296,8 @@
         finally:
             connection.close()
 
-    def _merge(self, before: int, body: bytes, peer: str) -> None:
+    def _merge(self, before: int, body: bytes, peer: str) -> bool:
+        """Merge what a peer sent; False when the keys are missing in it."""
         message = peer_messages.decode_catch_up(body, peer)
         if isinstance(message, peer_messages.Delta):
             events = peer_messages.as_events(message.items)
@@ -299,17 +305,29 @@
                 message.before, Changes(events, message.revision)
             )
         else:
-            changes = self._replica.merge_listing(self._listing_of(message))
+            listing = self._listing_of(message)
+            if listing is None:
+                return False
+            changes = self._replica.merge_listing(listing)
         if changes is not None and self._replica.revision == message.revision:
             self._replica.prove(message.age_ms / peer_messages.MS_PER_S)
             self._changed(before, changes)
+        return True
 
-    def _listing_of(self, snapshot: peer_messages.Snapshot) -> Listing:
+    def _listing_of(
+        self, message: peer_messages.Snapshot | peer_messages.Refresh
+    ) -> Listing | None:
         known = {item.key: item for item in self._replica.items}
-        items = []
-        for item in snapshot.items:
-            if item.value is not None:
-                items.append(StoredValue(item.key, item.value, item.revision))
-            elif item.key in known:
-                items.append(known[item.key])
-        return Listing(tuple(items), snapshot.revision)
+        listed = {
+            item.key: StoredValue(item.key, item.value, item.revision)
+            for item in message.items
+            if item.value is not None
+        }
+        if isinstance(message, peer_messages.Refresh):
+            listed = {**known, **listed}
+            if peer_messages.checksum_of_keys(listed) != message.checksum:
+                return None
+        else:
+            kept = (one.key for one in message.items if one.key in known)
+            listed = {**{key: known[key] for key in kept}, **listed}
+        return Listing(tuple(listed.values()), message.revision)
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -6,12 +6,12 @@
 import token_fixtures as fixtures
 from token_fixtures import change, listing, replica_stage
 
-from hibiscushatch_core.ports import WatchEvent
+from hibiscushatch_core.ports import StoredValue, WatchEvent
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.publisher import Publisher
 from hibiscushatch_token.knowledge.subscriber import Subscriber
-from hibiscushatch_token.ports import Changes
+from hibiscushatch_token.ports import Changes, Listing
 from hibiscushatch_token.settings import OutlierSettings
 
 NEAR = '127.0.0.1:31'
@@ -44,7 +44,7 @@
             before, change(key, value, revision)
         )
         self.scene.replica.prove(0)
-        self.publisher.changed(before, merged)
+        self.publisher.changed(before, merged, is_told=False)
 
     def _count_fleet(self) -> int:
         return self.publisher.served + 4
@@ -83,8 +83,10 @@
     def catch_up(self, sender: PublisherScene) -> None:
         """Fetch from a publisher what is missing."""
         before = self.scene.replica.revision
-        response = sender.publisher.snapshot(str(before).encode())
-        self.subscriber._merge(before, response.body, 'publisher')
+        for option in (b'', b'&keys'):
+            response = sender.publisher.snapshot(b'%d%s' % (before, option))
+            if self.subscriber._merge(before, response.body, 'publisher'):
+                break
 
     def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
         message = peer_messages.decode_datagram(datagram, 'subscriber')
@@ -148,7 +150,7 @@
         for index in range(6, 206)
     )
     sender.scene.replica.merge_changes(5, Changes(events, 210))
-    sender.publisher.changed(5, Changes(events, 210))
+    sender.publisher.changed(5, Changes(events, 210), is_told=False)
     assert 1 < len(sender.sent) < 20
     for announcement in sender.sent:
         encoded = peer_messages.encode(announcement)
@@ -164,7 +166,7 @@
     sender.publisher.subscribed(subscription(OTHER))
     upstreams = {f'servers_{index:03}': 'here' for index in range(300)}
     changes = sender.scene.replica.merge_listing(listing(5, **upstreams))
-    sender.publisher.changed(0, changes)
+    sender.publisher.changed(0, changes, is_told=False)
     assert [one.revision for one in sender.sent] == [5]
     assert sender.sent[0].items == []
     receiver = SubscriberScene()
@@ -180,14 +182,42 @@
     sender.write('servers/gone', None, 6)
     for revision in range(7, 2107):
         sender.write('servers/a', 'here', revision)
+    # What was deleted is not in the answer, which the reader notices.
     response = sender.publisher.snapshot(b'5')
     message = peer_messages.decode_catch_up(response.body, 'publisher')
-    assert isinstance(message, peer_messages.Snapshot)
+    assert isinstance(message, peer_messages.Refresh)
+    assert not receiver.subscriber._merge(5, response.body, 'publisher')
     receiver.catch_up(sender)
     assert set(receiver.scene.registry.names) == {'a'}
     assert receiver.scene.replica.revision == 2106
 
 
+def test_whoever_starts_with_an_old_listing_fetches_what_it_lacks() -> None:
+    # The publisher has just started as well and has no changes to tell.
+    sender = PublisherScene()
+    receiver = SubscriberScene()
+    known = [StoredValue(f'servers/{one:03}', b'here', 3) for one in range(299)]
+    newest = StoredValue('servers/new', b'here', 5)
+    sender.scene.replica.merge_listing(Listing((*known, newest), 5))
+    receiver.scene.replica.merge_listing(Listing(tuple(known), 4))
+    assert len(sender.publisher.snapshot(b'4').body) < 200
+    receiver.catch_up(sender)
+    assert len(receiver.scene.registry.names) == 300
+    assert receiver.scene.replica.revision == 5
+
+
+def test_what_a_publisher_was_told_is_not_told_to_publishers() -> None:
+    sender = PublisherScene()
+    sender.scene.replica.merge_listing(listing(5))
+    for control in (FAR, OTHER):
+        sender.publisher.subscribed(subscription(control))
+    for is_told, copies in ((False, 2), (True, 1)):
+        sender.sent.clear()
+        merged = change('servers/a', 'here', 6)
+        sender.publisher.changed(5, merged, is_told)
+        assert len(sender.sent) == copies, is_told
+
+
 def test_a_gap_asks_for_a_snapshot_and_proves_nothing() -> None:
     receiver = SubscriberScene()
     receiver.scene.replica.merge_listing(listing(5))
