Avoid ejected upstreams only while the others have room

Cause: under load, late requests come in clusters at one healthy upstream. It was ejected, its load went to the others, and they were full.

The parts of a service that may be ejected leave out evacuated failure domains.

--- a/packages/token/src/hibiscushatch_token/health/outlier_detector.py
+++ b/packages/token/src/hibiscushatch_token/health/outlier_detector.py
@@ -6,10 +6,10 @@
 saw (failure_reporter), and what is decided here is passed on to all of them.
 
 A sign of failure alone says little: the requests of a service differ, and a
-service that is overloaded is late everywhere. So an upstream is ejected when
-it has several failures more than a multiple of what is usual among the
-upstreams of its service. An ejected upstream is the last choice; it still gets
-flows when the others are full. Ejections end by themselves, later each time.
+service that is overloaded is late everywhere. So an upstream is ejected when it
+has several failures more than a multiple of what is usual among the upstreams
+of its service. Placement avoids it then as long as the others have room.
+Ejections end by themselves, later each time.
 """
 
 import logging
@@ -18,7 +18,7 @@
 import msgspec
 
 from hibiscushatch_core.decaying_count import DecayingCount
-from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.settings import OutlierSettings
 
@@ -49,22 +49,27 @@
 
     Args:
         settings: Thresholds.
-        registry: The upstreams.
+        known: The upstreams and the evacuated failure domains.
         clock: Monotonic seconds.
     """
 
     def __init__(
         self,
         settings: OutlierSettings,
-        registry: Registry,
+        known: KnownState,
         clock: Callable[[], float],
     ) -> None:
         self._settings = settings
-        self._registry = registry
+        self._known = known
         self._clock = clock
         self._counts: dict[str, DecayingCount] = {}
         self._ejections: dict[str, Ejection] = {}
 
+    @property
+    def has_ejected(self) -> bool:
+        """Whether any upstream is or was ejected."""
+        return bool(self._ejections)
+
     def is_ejected(self, name: str) -> bool:
         """Tell whether an upstream is ejected."""
         ejection = self._ejections.get(name)
@@ -89,7 +94,7 @@
         now = self._clock()
         known = [
             (upstream, failures[upstream.name])
-            for upstream in map(self._registry.find, failures)
+            for upstream in map(self._known.registry.find, failures)
             if upstream is not None
         ]
         for upstream, failed in known:
@@ -109,7 +114,7 @@
             left_s: How long the ejection still lasts.
             peer: Control address of the peer.
         """
-        if self._registry.find(name) is None:
+        if self._known.registry.find(name) is None:
             return
         is_news = not self.is_ejected(name)
         lasts_s = min(left_s, self._settings.ejection_max_s)
@@ -149,10 +154,11 @@
         least = self._least_count(upstream.name, now)
         if count < least or self.is_ejected(upstream.name):
             return False
+        evacuated = self._known.routing.evacuated
         peers = [
             one
-            for one in self._registry.of_service(upstream.service)
-            if not one.is_draining
+            for one in self._known.registry.of_service(upstream.service)
+            if not one.is_draining and one.domain not in evacuated
         ]
         usual = self._usual_count(peers, now)
         if count < least + usual * self._settings.failures_ratio:
--- a/packages/token/src/hibiscushatch_token/health/upstream_verdicts.py
+++ b/packages/token/src/hibiscushatch_token/health/upstream_verdicts.py
@@ -1,7 +1,7 @@
 """What is known of the health of upstreams, in one place for placement.
 
 Upstreams that do not answer are left out except for single flows that try
-them again; upstreams that answered late or slowly are the last choice.
+them again; upstreams that answer late, slowly or wrongly are avoided.
 """
 
 from collections.abc import Callable, Iterator
@@ -11,14 +11,12 @@
 from hibiscushatch_token.health.reachability import Reachability
 from hibiscushatch_token.health.response_times import ResponseTimes
 from hibiscushatch_token.model import Upstream
-from hibiscushatch_token.settings import PlacementSettings
 
 
 class UpstreamVerdicts:
     """Joins the verdicts of all observers.
 
     Args:
-        settings: What doubts cost.
         reachability: Which upstreams accept flows.
         times: Which upstreams answer slowly.
         outliers: Which upstreams are ejected.
@@ -27,13 +25,11 @@
 
     def __init__(
         self,
-        settings: PlacementSettings,
         reachability: Reachability,
         times: ResponseTimes,
         outliers: OutlierDetector,
         clock: Callable[[], float],
     ) -> None:
-        self._settings = settings
         self._reachability = reachability
         self._times = times
         self._outliers = outliers
@@ -65,17 +61,19 @@
                 return upstream
         return None
 
-    def penalties(
-        self, candidates: list[Upstream]
-    ) -> Iterator[tuple[str, float]]:
-        """Yield names of upstreams and what they cost, in flows per slot."""
-        limits = self._settings
-        for name in self._reachability.doubtful_names(self._clock()):
-            yield name, limits.doubt_cost
-        for name in self._times.slow_among(candidates):
-            yield name, limits.slow_cost
-        for name, _ in self._outliers.ejected():
-            yield name, limits.slow_cost
+    def doubtful_names(self) -> Iterator[str]:
+        """Yield the upstreams that left a packet unanswered lately."""
+        return self._reachability.doubtful_names(self._clock())
+
+    def avoided_among(self, candidates: list[Upstream]) -> frozenset[str]:
+        """Name those that answer slowly, and those that are ejected."""
+        slow = self._times.slow_among(candidates)
+        if not self._outliers.has_ejected:
+            return slow
+        is_ejected = self._outliers.is_ejected
+        return slow.union(
+            one.name for one in candidates if is_ejected(one.name)
+        )
 
     def verdict(self, upstream: Upstream) -> Verdict:
         """Tell whether an upstream accepts flows from here."""
--- a/packages/token/src/hibiscushatch_token/traffic/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_table.py
@@ -71,6 +71,7 @@
         # Flows whose upstream has yet to answer, the longest placed first.
         self._unanswered: dict[bytes, FlowRecord] = {}
         self._outstanding: collections.Counter[str] = collections.Counter()
+        self._by_service: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -83,6 +84,10 @@
         """Return how many flows an upstream has from here."""
         return self._outstanding.get(name, 0)
 
+    def outstanding_on(self, service: str) -> int:
+        """Return how many flows a service has from here."""
+        return self._by_service.get(service, 0)
+
     def place(
         self, opening: FlowPacket, upstream: Upstream, now: float
     ) -> None:
@@ -119,6 +124,7 @@
         if record.is_counted:
             record.is_counted = False
             self._outstanding[record.upstream.name] -= 1
+            self._by_service[record.upstream.service] -= 1
 
     def unanswered(self) -> Iterator[FlowRecord]:
         """Yield flows that wait for an answer, the longest placed first."""
@@ -141,3 +147,4 @@
     def _count(self, record: FlowRecord) -> None:
         record.is_counted = True
         self._outstanding[record.upstream.name] += 1
+        self._by_service[record.upstream.service] += 1
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -46,9 +46,8 @@
         self.reachability = Reachability(environment.randomness)
         self.times = ResponseTimes(clock)
         self.requests = RequestWatch(self.times, environment.counters, clock)
-        self.outliers = OutlierDetector(settings.outliers, registry, clock)
+        self.outliers = OutlierDetector(settings.outliers, self.known, clock)
         self.verdicts = UpstreamVerdicts(
-            settings.placement,
             self.reachability,
             self.times,
             self.outliers,
--- a/packages/token/src/hibiscushatch_token/traffic/upstream_pool.py
+++ b/packages/token/src/hibiscushatch_token/traffic/upstream_pool.py
@@ -32,6 +32,12 @@
         self._near = _Ring(randomness)
         self._far = _Ring(randomness)
         self._shown: list[Upstream] = []
+        self._slots = 0
+
+    @property
+    def slots(self) -> int:
+        """Slots of all upstreams."""
+        return self._slots
 
     @property
     def everyone(self) -> list[Upstream]:
@@ -48,6 +54,7 @@
         self._near.update(near)
         self._far.update(far)
         self._shown = []
+        self._slots = sum(one.slots for one in self.everyone)
 
     def window(self) -> list[Upstream]:
         """Return the upstreams whose turn is next, near ones first."""
--- a/packages/token/tests/backlog_test.py
+++ b/packages/token/tests/backlog_test.py
@@ -6,17 +6,18 @@
 rest in order.
 """
 
-import collections
 import dataclasses
 import functools
 
-from load_fixtures import Events
+from load_fixtures import Events, Upstreams
 from token_fixtures import LAST, Stage, stage, upstream
 
 VMS = 3
 UPSTREAMS = tuple(f'u{index}' for index in range(5))
 WORK_S = 0.04
 SLOTS = 3
+# No request is rejected.
+QUEUE_MAX = 1000
 # The share of the slots that the load takes when nothing is wrong.
 USED_SHARE = 0.6
 GAP_S = WORK_S / (len(UPSTREAMS) * SLOTS * USED_SHARE)
@@ -60,10 +61,7 @@
             for _ in range(VMS)
         ]
         self.callers: dict[str, Caller] = {}
-        self._busy: collections.Counter[str] = collections.Counter()
-        self._queues: dict[str, collections.deque[Caller]] = {
-            name: collections.deque() for name in UPSTREAMS
-        }
+        self._upstreams = Upstreams(self.events, SLOTS, QUEUE_MAX)
 
     def play(self) -> list[Caller]:
         """Run until all callers were served or have given up."""
@@ -104,22 +102,15 @@
     def _arrive(self, caller: Caller) -> None:
         caller.vm.answer(caller.flow, caller.upstream)
         caller.vm.sent.clear()
-        self._queues[caller.upstream].append(caller)
-        self._work(caller.upstream)
+        self._upstreams.begin(
+            caller.upstream, WORK_S, functools.partial(self._serve, caller)
+        )
 
-    def _work(self, name: str) -> None:
-        while self._queues[name] and self._busy[name] < SLOTS:
-            self._busy[name] += 1
-            caller = self._queues[name].popleft()
-            self.events.after(WORK_S, functools.partial(self._serve, caller))
-
-    def _serve(self, caller: Caller) -> None:
+    def _serve(self, caller: Caller, _was_run: bool) -> None:
         caller.served_at = self.events.now
-        self._busy[caller.upstream] -= 1
         token = upstream(caller.upstream).token
         caller.vm.send(caller.flow, token, LAST)
         self._take_placed(caller.vm)
-        self._work(caller.upstream)
 
 
 def test_those_who_come_after_an_interruption_do_not_pay_for_it() -> None:
--- a/packages/token/tests/load_fixtures.py
+++ b/packages/token/tests/load_fixtures.py
@@ -1,5 +1,8 @@
 """Events in order of time, for tests that play a load."""
 
+import collections
+import dataclasses
+import functools
 import heapq
 import itertools
 from collections.abc import Callable
@@ -41,3 +44,62 @@
             happens_at, _, act = heapq.heappop(self._planned)
             self.clock.now = happens_at
             act()
+
+
+class Upstreams:
+    """Upstreams that work on as many requests as they have slots.
+
+    Further requests wait in order; those beyond the longest queue are rejected
+    at once.
+
+    Args:
+        events: The events of the test.
+        slots: Slots of each upstream.
+        queue_max: Longest queue.
+    """
+
+    def __init__(self, events: Events, slots: int, queue_max: int) -> None:
+        self._events = events
+        self._slots = slots
+        self._queue_max = queue_max
+        self._busy: collections.Counter[str] = collections.Counter()
+        self._queues: dict[str, collections.deque[_Work]] = {}
+
+    def begin(
+        self, name: str, work_s: float, answered: Callable[[bool], None]
+    ) -> None:
+        """Take a request.
+
+        Args:
+            name: The upstream.
+            work_s: How long it takes.
+            answered: Called at the end, with whether it was worked on.
+        """
+        queue = self._queues.setdefault(name, collections.deque())
+        if len(queue) >= self._queue_max:
+            answered(False)
+            return
+        queue.append(_Work(work_s, answered))
+        self._work(name)
+
+    def _work(self, name: str) -> None:
+        queue = self._queues[name]
+        while queue and self._busy[name] < self._slots:
+            self._busy[name] += 1
+            work = queue.popleft()
+            self._events.after(
+                work.seconds, functools.partial(self._end, name, work)
+            )
+
+    def _end(self, name: str, work: '_Work') -> None:
+        self._busy[name] -= 1
+        work.answered(True)
+        self._work(name)
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """A request at an upstream."""
+
+    seconds: float
+    answered: Callable[[bool], None]
--- a/packages/token/tests/outlier_detector_test.py
+++ b/packages/token/tests/outlier_detector_test.py
@@ -5,7 +5,9 @@
 from token_fixtures import FakeClock, upstream
 
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.settings import OutlierSettings
 
@@ -22,7 +24,8 @@
     registry = Registry(clock, 60, lambda _upstream: None)
     for one in upstreams:
         registry.apply(one.name, one, 1)
-    return OutlierDetector(OutlierSettings(), registry, clock)
+    known = KnownState(Routing(), registry, lambda: 1)
+    return OutlierDetector(OutlierSettings(), known, clock)
 
 
 def ejected(detector: OutlierDetector) -> list[str]:
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -9,6 +9,7 @@
 from hibiscushatch_core.ports import StoredValue, WatchEvent
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.publisher import Publisher
 from hibiscushatch_token.knowledge.subscriber import Subscriber
 from hibiscushatch_token.ports import Changes, Listing
@@ -26,7 +27,9 @@
         self.scene = replica_stage()
         self.sent: list[peer_messages.Announcement] = []
         self.detector = OutlierDetector(
-            OutlierSettings(), self.scene.registry, self.scene.clock
+            OutlierSettings(),
+            KnownState(self.scene.routing, self.scene.registry, int),
+            self.scene.clock,
         )
         self.publisher = Publisher(
             fixtures.settings(control=NEAR, publishers=[NEAR, FAR]),
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -194,6 +194,7 @@
     is_draining: bool = False,
     cold_s: float = 0,
     incarnation: int = 1,
+    slots: int = 3,
 ) -> Upstream:
     """Build an upstream whose token follows from its name."""
     return Upstream(
@@ -203,7 +204,7 @@
         service,
         (name, 80),
         domain,
-        3,
+        slots,
         is_draining,
         cold_s,
         incarnation,
@@ -246,9 +247,16 @@
         clock: The clock that the test sets.
         fleet: Number of entry VMs.
         seed: Seed of its randomness.
+        domain: Its failure domain.
     """
 
-    def __init__(self, clock: FakeClock, fleet: int, seed: int = SEED) -> None:
+    def __init__(
+        self,
+        clock: FakeClock,
+        fleet: int,
+        seed: int = SEED,
+        domain: str = 'here',
+    ) -> None:
         self.clock = clock
         self.counters = Counters()
         self.sent: list[tuple[bytes, tuple[str, int]]] = []
@@ -259,7 +267,7 @@
             random.Random(seed),  # noqa: S311
         )
         super().__init__(
-            settings(),
+            settings(domain=domain),
             environment,
             lambda datagram, target: self.sent.append((datagram, target)),
             lambda: fleet,
