Refuse new flows of an overloaded service

Cause: under a standing overload every flow was placed. The queues of upstreams filled, everyone was served late, and full upstreams rejected requests after the wait.

Change: traffic/admission resets the opening packet of a flow beyond a limit on open flows: what upstreams serve a second, times three unloaded responses and at most 0.7 of the aim. Less urgent routes have a smaller limit. Flows beyond it are refused only while responses are slow, or far beyond it; nothing is refused in the two seconds after a start.

--- a/packages/core/src/hibiscushatch_core/reasons.py
+++ b/packages/core/src/hibiscushatch_core/reasons.py
@@ -42,6 +42,7 @@
     UPSTREAM_GONE = 'upstream_gone'
     SILENT_FLOW = 'silent_flow'
     NO_ROUTE = 'no_route'
+    OVERLOAD = 'overload'
 
 
 class FailureSignal(enum.StrEnum):
--- a/packages/token/src/hibiscushatch_token/health/request_watch.py
+++ b/packages/token/src/hibiscushatch_token/health/request_watch.py
@@ -25,7 +25,8 @@
 # A process that looked this long ago was paused; what it missed says nothing.
 _PAUSE_S = 0.5
 _OVERDUE = OverdueSignal()
-_SIGNALS: tuple[RequestSignal, ...] = (_OVERDUE, EarlyEndSignal())
+_EARLY_END = EarlyEndSignal()
+_SIGNALS: tuple[RequestSignal, ...] = (_OVERDUE, _EARLY_END)
 
 
 class _Request(msgspec.Struct):
@@ -45,6 +46,8 @@
         times: Told how long requests took.
         counters: Counts signs of failure.
         clock: Monotonic seconds.
+        served: Called with the service and the time of each request that was
+            answered and not too early.
     """
 
     def __init__(
@@ -52,10 +55,12 @@
         times: ResponseTimes,
         counters: Counters,
         clock: Callable[[], float],
+        served: Callable[[str, float], None],
     ) -> None:
         self._times = times
         self._counters = counters
         self._clock = clock
+        self._served = served
         self._waiting: dict[bytes, _Request] = {}
         self._failures: collections.Counter[str] = collections.Counter()
         self._looked_at = clock()
@@ -86,6 +91,8 @@
             for signal in _SIGNALS:
                 if signal.is_given(times, usual):
                     self._count(request, signal)
+            if not _EARLY_END.is_early(times, usual):
+                self._served(request.upstream.service, times.waited_s)
             self._times.responded(request.upstream, times)
 
     def note_overdue(self) -> None:
--- a/packages/token/src/hibiscushatch_token/health/response_times.py
+++ b/packages/token/src/hibiscushatch_token/health/response_times.py
@@ -26,6 +26,9 @@
 _USUAL_CLIP = 2.0
 # So many requests tell how often they end early.
 _EARLY_MEMORY = 200
+# Where nearly all end early, the service has become faster. Where fewer do,
+# overloaded upstreams reject them, which says nothing of the work.
+_FASTER_SHARE = 0.98
 # Requests of a service before anything is called slow.
 _SAMPLES_MIN = 20
 _AVOID_MIN_S = 3.0
@@ -161,8 +164,9 @@
         is_early = self._early_end.is_early(times, known.usual)
         change = is_early - known.early_share
         known.early_share += change / min(known.samples, _EARLY_MEMORY)
-        known.response.add(times.waited_s)
-        known.work.add(times.work_s)
+        if not is_early or known.early_share > _FASTER_SHARE:
+            known.response.add(times.waited_s)
+            known.work.add(times.work_s)
         known.usual = UsualTimes(
             known.response.seconds, known.work.seconds, known.early_share
         )
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -82,6 +82,44 @@
     idle_s: _Seconds = 1.0
 
 
+class AdmissionSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """When new flows of an overloaded service are refused.
+
+    Attributes:
+        aim_share: The part of the shortest aim that a flow may take on
+            average; the work of requests differs, and most should be in time.
+        flows_per_slot: Flows for each slot that may be open: one that is
+            worked on, two that wait, as traffic is not spread evenly over
+            upstreams and entry VMs.
+        priority_step: Factor of the limit for each step of lower priority.
+        delay_share: The part of the shortest aim that responses have to take
+            before flows beyond the limit are refused.
+        slow_factor: Or how many times as long as while slots are free, where
+            that is less.
+        sure_factor: Flows beyond this many limits are refused whatever
+            responses take, as responses tell of an overload when it has
+            lasted for as long as they take.
+        responses: Over how many responses their time is averaged.
+        rate_half_life_s: Time in which half of the requests that were served
+            are forgotten: some responses of a busy entry VM.
+        warm_up_s: Time after a start in which nothing is refused: callers who
+            waited for it try for 1.4 s, and their flows are deferred for up
+            to 0.6 s.
+    """
+
+    aim_share: _Fraction = 0.7
+    flows_per_slot: _Fraction = 3.0
+    priority_step: _Part = 0.7
+    delay_share: _Part = 0.5
+    slow_factor: _Fraction = 2.2
+    sure_factor: _Fraction = 3.0
+    responses: _Fraction = 16.0
+    rate_half_life_s: _Seconds = 0.35
+    warm_up_s: _Seconds = 2.0
+
+
 class RelaySettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -148,6 +186,7 @@
         relays: How many entry VMs a publisher tells of changes itself.
         placement: How new flows are placed.
         outliers: When an upstream is ejected whose requests fail.
+        admission: When new flows of an overloaded service are refused.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time that the fabric takes to notice that the readiness
             check fails: two checks at two a second, and packets under way.
@@ -169,6 +208,7 @@
     relays: RelaySettings = RelaySettings()
     placement: PlacementSettings = PlacementSettings()
     outliers: OutlierSettings = OutlierSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     stop_grace_s: _Seconds = 6.0
     rotation_s: _Seconds = 1.4
     flow_age_max_s: _Seconds = 60.0
--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -10,6 +10,8 @@
 
 import logging
 
+import msgspec
+
 from hibiscushatch_core.reasons import RefusalReason, RetryReason
 from hibiscushatch_core.retry_budget import RetryBudget, RetryBudgetSettings
 from hibiscushatch_token.environment import Environment
@@ -44,7 +46,7 @@
         environment: Codec, counters and clock.
         known: Routes in force.
         flows: Flows opened here.
-        placement: Chooses upstreams.
+        placement: Chooses upstreams, and refuses what they can't serve.
         reachability: Told what becomes of opening packets.
         packet_exit: Where packets leave.
     """
@@ -175,9 +177,15 @@
         else:
             self._send(packet, upstream, tried, now)
 
-    def _refuse(self, packet: FlowPacket, reason: RefusalReason) -> None:
+    def _refuse(
+        self,
+        packet: FlowPacket,
+        reason: RefusalReason,
+        cause: dict[str, object] | None = None,
+    ) -> None:
         self._flows.remove(packet.flow)
-        self._exit.refuse(packet, reason, self._routing.config.version)
+        version = self._routing.config.version
+        self._exit.refuse(packet, reason, {'config': version, **(cause or {})})
 
     def _came_together(self, record: FlowRecord, now: float) -> bool:
         # Copies that waited here together tell nothing.
@@ -187,7 +195,7 @@
         self, packet: FlowPacket, service: str, route: Route, now: float
     ) -> None:
         if not is_late(packet, route) or self._placement.has_room(service):
-            self._place(packet, service, (), now)
+            self._admit(packet, service, route, now)
             return
         self._late.add(packet, service, route)
         self._counters.flows_deferred += 1
@@ -201,6 +209,16 @@
             },
         )
 
+    def _admit(
+        self, packet: FlowPacket, service: str, route: Route, now: float
+    ) -> None:
+        refusal = self._placement.refusal(service, route)
+        if refusal is None:
+            self._place(packet, service, (), now)
+            return
+        cause = msgspec.structs.asdict(refusal)
+        self._refuse(packet, RefusalReason.OVERLOAD, cause)
+
     def _open_again(
         self, packet: FlowPacket, service: str, record: FlowRecord, now: float
     ) -> None:
--- a/packages/token/src/hibiscushatch_token/traffic/packet_exit.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_exit.py
@@ -40,14 +40,17 @@
         self._counters.packets_to_upstreams += 1
 
     def refuse(
-        self, packet: FlowPacket, reason: RefusalReason, config_version: int
+        self,
+        packet: FlowPacket,
+        reason: RefusalReason,
+        cause: dict[str, object],
     ) -> None:
         """Tell a caller at once that its flow is not opened.
 
         Args:
             packet: The opening packet of the flow.
             reason: Why it is refused.
-            config_version: The configuration that decided it.
+            cause: What decided it, for the log.
         """
         self._counters.refusals[reason] += 1
         _log.info(
@@ -55,7 +58,7 @@
             extra={
                 'flow': self._codec.describe(packet.flow),
                 'reason': reason.value,
-                'config': config_version,
+                **cause,
             },
         )
         reset = self._codec.reset(packet)
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -14,6 +14,7 @@
 from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.traffic.admission import Admission
 from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowTable
@@ -45,7 +46,6 @@
         self.flows = FlowTable()
         self.reachability = Reachability(environment.randomness)
         self.times = ResponseTimes(clock)
-        self.requests = RequestWatch(self.times, environment.counters, clock)
         self.outliers = OutlierDetector(settings.outliers, self.known, clock)
         self.verdicts = UpstreamVerdicts(
             self.reachability,
@@ -54,6 +54,16 @@
             clock,
         )
         self._allowance = ColdAllowance(environment, self.known)
+        admission = Admission(
+            settings.admission,
+            environment,
+            self.known,
+            self.flows,
+            self.outliers,
+        )
+        self.requests = RequestWatch(
+            self.times, environment.counters, clock, admission.served
+        )
         self.placement = Placement(
             settings,
             environment,
@@ -61,6 +71,7 @@
             self.flows,
             self.verdicts,
             self._allowance,
+            admission,
         )
         packet_exit = PacketExit(environment.codec, environment.counters, send)
         self.opener = FlowOpener(
--- a/packages/token/src/hibiscushatch_token/traffic/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -16,11 +16,15 @@
 from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Route, Upstream
 from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.traffic.admission import Admission, Refusal
 from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
 from hibiscushatch_token.traffic.flow_table import FlowTable
-from hibiscushatch_token.traffic.load_average import LoadAverage
+from hibiscushatch_token.traffic.moving_average import MovingAverage
 from hibiscushatch_token.traffic.upstream_pool import UpstreamPool
 
+# Long against the time of a request, short against a wave of load.
+_LOAD_AVERAGED_OVER_S = 1.0
+
 
 class _ServicePool:
     """The pool of one service, and what it was made of."""
@@ -29,7 +33,7 @@
         self.service = service
         self.pool = pool
         self.made_of: tuple[int, frozenset[str]] | None = None
-        self.load = LoadAverage()
+        self.load = MovingAverage(_LOAD_AVERAGED_OVER_S)
 
 
 class Placement:
@@ -42,6 +46,7 @@
         flows: Outstanding flows.
         verdicts: Which upstreams answer, and how well.
         allowance: What cold upstreams may get.
+        admission: Which flows are refused in an overload.
     """
 
     def __init__(
@@ -52,12 +57,14 @@
         flows: FlowTable,
         verdicts: UpstreamVerdicts,
         allowance: ColdAllowance,
+        admission: Admission,
     ) -> None:
         self._settings = settings
         self._known = known
         self._flows = flows
         self._verdicts = verdicts
         self._allowance = allowance
+        self._admission = admission
         self._clock = environment.clock
         self._randomness = environment.randomness
         self._pools: dict[str, _ServicePool] = {}
@@ -74,6 +81,11 @@
         open_here = sum(self._flows.outstanding(one.name) for one in alive)
         return open_here < max(1, self._part_of(slots))
 
+    def refusal(self, service: str, route: Route) -> Refusal | None:
+        """Tell why a new flow is to be refused; None when it is not."""
+        slots = self._pool_of(service).pool.slots
+        return self._admission.refusal(service, route, slots)
+
     def draw_service(self, route: Route) -> str:
         """Choose the service of a new flow by the weights of its route."""
         services = route.services
--- a/packages/token/tests/response_times_test.py
+++ b/packages/token/tests/response_times_test.py
@@ -123,3 +123,23 @@
         scene.clock.now += USUAL_S
         scene.send('f001', token)
     assert not scene.verdicts.is_slow(upstream(chosen))
+
+
+def test_rejections_of_an_overload_do_not_change_what_is_usual() -> None:
+    times = warm_times(FakeClock(), 'a1', 'a2', 'a3')
+    before = times.usual('booking')
+    for _ in range(300):
+        for _ in range(8):
+            respond(times, 'a1', 0.001)
+        respond(times, 'a2', USUAL_S)
+    after = times.usual('booking')
+    assert round(after.work_s, 3) == round(before.work_s, 3)
+    assert round(after.response_s, 3) == round(before.response_s, 3)
+    assert round(after.early_share, 1) == round(8 / 9, 1)
+
+
+def test_a_service_that_became_faster_is_learnt() -> None:
+    times = warm_times(FakeClock(), 'a1', 'a2', 'a3')
+    for _ in range(1200):
+        respond(times, 'a1', 0.005)
+    assert times.usual('booking').response_s < USUAL_S / 5
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -32,6 +32,7 @@
 )
 from hibiscushatch_token.settings import TokenNodeSettings
 from hibiscushatch_token.traffic.packet_path import PacketPath
+from hibiscushatch_tools.load_events import VirtualClock as FakeClock
 
 # Lost stores are what many tests are about; their lines would fill the output.
 logging.getLogger('hibiscushatch_token').addHandler(logging.NullHandler())
@@ -44,17 +45,6 @@
 PAYLOAD = 4
 
 
-class FakeClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.now = 1000.0
-
-    def __call__(self) -> float:
-        """Return the present time in seconds."""
-        return self.now
-
-
 def opening(flow: str, copy: int = 0) -> bytes:
     """Build an opening packet as FakeCodec reads it."""
     return _PACKET.pack(flow.encode(), 0, OPENING, copy, 0)
@@ -284,11 +274,16 @@
         return self.known.registry
 
     def send(
-        self, flow: str, token: int = 0, flags: int = 0, copy: int = 0
+        self,
+        flow: str,
+        token: int = 0,
+        flags: int = 0,
+        copy: int = 0,
+        route: int = 0,
     ) -> str:
         """Hand over a packet and return where it went; empty for nowhere."""
         before = len(self.sent)
-        datagram = _PACKET.pack(flow.encode(), token, flags, copy, 0)
+        datagram = _PACKET.pack(flow.encode(), token, flags, copy, route)
         self.forwarder.handle(datagram, 'caller')
         if len(self.sent) == before:
             return ''
@@ -304,9 +299,9 @@
             return ''
         return self.sent[-1][1][0]
 
-    def open(self, flow: str, copy: int = 0) -> str:
+    def open(self, flow: str, copy: int = 0, route: int = 0) -> str:
         """Send an opening packet."""
-        return self.send(flow, flags=OPENING, copy=copy)
+        return self.send(flow, flags=OPENING, copy=copy, route=route)
 
     def end(self, flow: str, name: str) -> str:
         """Send the last packet of a flow."""
--- a/packages/tools/src/hibiscushatch_tools/capacity_node.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_node.py
@@ -5,7 +5,6 @@
 """
 
 import random
-import struct
 import time
 from collections.abc import Iterable, Iterator
 
@@ -25,57 +24,21 @@
 )
 from hibiscushatch_token.ports import (
     Documents,
-    FlowPacket,
     Listing,
-    PacketCodec,
-    Reset,
 )
 from hibiscushatch_token.settings import StoreSettings, TokenNodeSettings
 from hibiscushatch_token.traffic.packet_path import PacketPath
+from hibiscushatch_tools import plain_codec
 
 SEED = 11
 NO_EVACUATIONS: tuple[tuple[str, bool], ...] = ()
 DOMAINS = 6
 SERVICE = 'service-0'
-_ENDPOINT = (bytes((198, 18, 0, 1)), 443)
-_PACKET = struct.Struct('>QIB')
-_OPENING = 1
-_LAST = 2
+_ENDPOINT = (plain_codec.ENDPOINT_ADDRESS, plain_codec.FIRST_PORT)
 _REGISTRY = 'upstreams/'
 _SLOTS = 3
 
 
-class PlainCodec(PacketCodec):
-    """Packets of a flow number, a token and flags."""
-
-    def parse(self, datagram: bytes) -> FlowPacket | None:
-        """Read a packet."""
-        number, token, flags = _PACKET.unpack(datagram)
-        return FlowPacket(
-            datagram=datagram,
-            flow=number.to_bytes(8, 'big'),
-            endpoint=_ENDPOINT,
-            token=token,
-            is_opening=bool(flags & _OPENING),
-            copy=0,
-            waited_s=0,
-            has_payload=flags == 0,
-            is_last=bool(flags & _LAST),
-        )
-
-    def describe(self, flow: bytes) -> str:
-        """Name a flow."""
-        return flow.hex()
-
-    def encapsulate(self, packet: FlowPacket, upstream: Upstream) -> bytes:
-        """Address a packet to an upstream."""
-        return upstream.identity + packet.datagram
-
-    def reset(self, packet: FlowPacket) -> Reset:
-        """Build a reset."""
-        return Reset(packet.datagram, ('127.0.0.1', 1))
-
-
 class PlainDocuments(Documents):
     """Upstreams encoded as msgspec writes them; no configuration."""
 
@@ -113,7 +76,7 @@
     def __init__(self, upstreams: int) -> None:
         self.settings = node_settings()
         environment = Environment(
-            PlainCodec(),
+            plain_codec.PlainCodec(),
             Counters(),
             time.monotonic,
             random.Random(SEED),  # noqa: S311
@@ -139,15 +102,18 @@
 
     def open_flow(self, number: int) -> None:
         """Handle an opening packet and the caller's next one."""
-        self._forwarder.handle(_PACKET.pack(number, 0, _OPENING), '')
+        first = plain_codec.packet_of(number, flags=plain_codec.OPENING)
+        self._forwarder.handle(first, '')
         record = self.flows.get(number.to_bytes(8, 'big'))
         token = record.upstream.token
-        self._forwarder.handle(_PACKET.pack(number, token, 0), '')
+        request = plain_codec.packet_of(number, token, plain_codec.PAYLOAD)
+        self._forwarder.handle(request, '')
 
     def carry(self, number: int) -> None:
         """Handle a packet of an open flow."""
         record = self.flows.get(number.to_bytes(8, 'big'))
-        datagram = _PACKET.pack(number, record.upstream.token, 0)
+        token = record.upstream.token
+        datagram = plain_codec.packet_of(number, token, plain_codec.PAYLOAD)
         self._forwarder.handle(datagram, '')
 
 
--- a/packages/tools/tests/operations_page_test.py
+++ b/packages/tools/tests/operations_page_test.py
@@ -62,6 +62,7 @@
         settings.PlacementSettings,
         settings.RelaySettings,
         settings.OutlierSettings,
+        settings.AdmissionSettings,
         status.Status,
     ):
         yield from model.__struct_fields__
