Learn what responses usually take from all calm responses

Ruled out: the warm-up (2 s in place of 1.5 s changed nothing).

Change: what is usual is averaged over 256 responses, the first 16 evenly; responses of an overload weigh a sixteenth. The overload tests pass.

--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -96,8 +96,7 @@
         priority_step: Factor of the limit for each step of lower priority.
         delay_share: The part of the shortest aim that responses have to take
             before flows beyond the limit are refused.
-        slow_factor: Or how many times as long as while slots are free, where
-            that is less.
+        slow_factor: Or how many times as long as usual, where that is less.
         sure_factor: Flows beyond this many limits are refused whatever
             responses take, as responses tell of an overload when it has
             lasted for as long as they take.
--- a/packages/token/src/hibiscushatch_token/traffic/admission.py
+++ b/packages/token/src/hibiscushatch_token/traffic/admission.py
@@ -35,13 +35,13 @@
         load: Flows that this entry VM has open on the service.
         limit: How many of the route's priority may be open.
         response_s: How long responses took of late.
-        unloaded_s: How long they take while slots are free.
+        usual_s: How long they usually take.
     """
 
     load: float
     limit: float
     response_s: float
-    unloaded_s: float
+    usual_s: float
 
 
 class _Overload(msgspec.Struct):
@@ -99,9 +99,8 @@
         if not (aim_s and fleet and limit.is_known):
             return None
         load = self._open_flows(service, fleet)
-        limit.note_load(load, slots / fleet)
         share = self._settings.priority_step**steps
-        most = max(1.0, limit.flows_max(aim_s) * share)
+        most = max(1.0, limit.flows_max(slots / fleet, aim_s) * share)
         sure = most * self._settings.sure_factor
         if load < most or (load < sure and not limit.is_slow(aim_s)):
             self._note_admitted(service)
@@ -110,7 +109,7 @@
             round(load, 2),
             round(most, 2),
             round(limit.response_s, 3),
-            round(limit.unloaded_s, 3),
+            round(limit.usual_s, 3),
         )
         self._note_refused(service, refusal, limit.rate_per_s)
         return refusal
@@ -122,7 +121,8 @@
             service: Its service.
             took_s: How long its response took.
         """
-        self._limit_of(service).served(took_s)
+        is_overloaded = service in self._overloads
+        self._limit_of(service).served(took_s, is_overloaded)
 
     def _open_flows(self, service: str, fleet: int) -> float:
         open_flows: float = self._flows.outstanding_on(service)
@@ -179,7 +179,7 @@
                     'load': refusal.load,
                     'limit': refusal.limit,
                     'response_s': refusal.response_s,
-                    'unloaded_s': refusal.unloaded_s,
+                    'usual_s': refusal.usual_s,
                     'served_per_s': round(rate_per_s, 1),
                     'config': self._config_version,
                 },
--- a/packages/token/src/hibiscushatch_token/traffic/concurrency_limit.py
+++ b/packages/token/src/hibiscushatch_token/traffic/concurrency_limit.py
@@ -7,9 +7,9 @@
 falls. The rate lags behind a burst that has just begun, so the time that
 responses take counts as well.
 
-A flow may take a multiple of what a response takes while slots are free, as
-longer queues keep no more slots busy and upstreams reject what they can't
-queue; and less than the aim, where that is shorter.
+A flow may take a multiple of what a response usually takes, as longer queues
+keep no more slots busy and upstreams reject what they can't queue; and less
+than the aim, where that is shorter.
 """
 
 import math
@@ -17,13 +17,15 @@
 
 from hibiscushatch_core.decaying_count import DecayingCount
 from hibiscushatch_token.settings import AdmissionSettings
-from hibiscushatch_token.traffic.moving_average import MovingAverage
 
-# Long against the time of a request, short against a wave of load.
-_LOAD_AVERAGED_OVER_S = 1.0
-# Over so many responses the time is averaged that they take while slots are
-# free: it changes with the software of the upstreams, not with the load.
-_UNLOADED_RESPONSES = 64
+# Over so many responses the time is averaged that they usually take: more than
+# come before an overload is noticed.
+_USUAL_RESPONSES = 256
+# The first ones are averaged evenly; a burst may come soon after a start.
+_FIRST_RESPONSES = 16
+# Those of an overload move it far less, but do so: upstreams that have become
+# slower for good must not look overloaded for ever.
+_OVERLOADED_WEIGHT = 1 / 16
 
 
 class ConcurrencyLimit:
@@ -41,11 +43,9 @@
         self._clock = clock
         self._served = DecayingCount(settings.rate_half_life_s)
         self._began_at = clock()
-        self._load = MovingAverage(_LOAD_AVERAGED_OVER_S)
-        self._slots = 0.0
-        self._has_room = False
         self._response_s = 0.0
-        self._unloaded_s = 0.0
+        self._usual_s = 0.0
+        self._responses = 0
 
     @property
     def rate_per_s(self) -> float:
@@ -65,50 +65,39 @@
         return self._response_s
 
     @property
-    def unloaded_s(self) -> float:
-        """How long responses take while slots are free; 0 when unknown."""
-        return self._unloaded_s
+    def usual_s(self) -> float:
+        """How long responses usually take, without overload."""
+        return self._usual_s
 
-    def note_load(self, open_flows: float, slots: float) -> None:
-        """Take over how many flows are open.
-
-        Args:
-            open_flows: Flows of this entry VM on the service.
-            slots: Its part of the service's slots.
-        """
-        average = self._load.note(open_flows, self._clock())
-        self._slots = slots
-        self._has_room = max(open_flows, average) < slots
-
-    def served(self, took_s: float) -> None:
+    def served(self, took_s: float, is_overloaded: bool) -> None:
         """Count a request that was served.
 
         Args:
             took_s: How long its response took.
+            is_overloaded: Whether the service was overloaded a moment ago.
         """
         self._served.add(self._clock())
         change = took_s - self._response_s
         self._response_s += change / self._settings.responses
-        if not self._unloaded_s:
-            self._unloaded_s = took_s
-        elif self._has_room:
-            change = took_s - self._unloaded_s
-            self._unloaded_s += change / _UNLOADED_RESPONSES
-
-    def flows_max(self, aim_s: float) -> float:
+        self._responses += 1
+        weight = 1 / _USUAL_RESPONSES
+        if self._responses <= _FIRST_RESPONSES:
+            weight = 1 / self._responses
+        if is_overloaded:
+            weight *= _OVERLOADED_WEIGHT
+        self._usual_s += (took_s - self._usual_s) * weight
+
+    def flows_max(self, slots: float, aim_s: float) -> float:
         """Return how many flows may be open.
 
-        Some flows for each slot may always be open: fewer would leave slots
-        idle.
-
         Args:
+            slots: This entry VM's part of the slots. Some flows for each of
+                them may always be open: fewer would leave slots idle.
             aim_s: Within what time callers want their answers.
         """
         per_slot = self._settings.flows_per_slot
-        flow_s = min(
-            aim_s * self._settings.aim_share, self._unloaded_s * per_slot
-        )
-        return max(1.0, self._slots * per_slot, self.rate_per_s * flow_s)
+        flow_s = min(aim_s * self._settings.aim_share, self._usual_s * per_slot)
+        return max(1.0, slots * per_slot, self.rate_per_s * flow_s)
 
     def is_slow(self, aim_s: float) -> bool:
         """Tell whether responses take as long as in an overload.
@@ -118,5 +107,5 @@
         """
         return self._response_s >= min(
             aim_s * self._settings.delay_share,
-            self._unloaded_s * self._settings.slow_factor,
+            self._usual_s * self._settings.slow_factor,
         )
