Copy played settings with msgspec, and name the caller's address once

Cause: the load player copied settings by hand where msgspec.structs.replace does it, and repeated the address to which PlainCodec sends resets; the tests' load_fixtures only passed on load_events. No behaviour changes.

--- a/packages/token/tests/backlog_test.py
+++ b/packages/token/tests/backlog_test.py
@@ -9,9 +9,10 @@
 import dataclasses
 import functools
 
-from load_fixtures import Events, Upstreams
 from token_fixtures import LAST, Stage, stage, upstream
 
+from hibiscushatch_tools.load_events import Events, Upstreams
+
 VMS = 3
 UPSTREAMS = tuple(f'u{index}' for index in range(5))
 WORK_S = 0.04
--- a/packages/token/tests/failing_upstreams_test.py
+++ b/packages/token/tests/failing_upstreams_test.py
@@ -11,7 +11,6 @@
 import random
 from collections.abc import Callable
 
-from load_fixtures import Events
 from token_fixtures import (
     LAST,
     PAYLOAD,
@@ -24,6 +23,7 @@
 
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
+from hibiscushatch_tools.load_events import Events
 
 VMS = 40
 NAMES = tuple(f'u{index:02}' for index in range(24))
--- a/packages/token/tests/loaded_upstreams_test.py
+++ b/packages/token/tests/loaded_upstreams_test.py
@@ -10,7 +10,6 @@
 import functools
 import random
 
-from load_fixtures import Events, Upstreams
 from token_fixtures import (
     LAST,
     PAYLOAD,
@@ -23,6 +22,7 @@
 
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
+from hibiscushatch_tools.load_events import Events, Upstreams
 
 # Two upstreams in each domain and one more; entry VMs as they stand in a small
 # deployment, where each domain has a third of the traffic.
--- a/packages/tools/src/hibiscushatch_tools/load_player.py
+++ b/packages/tools/src/hibiscushatch_tools/load_player.py
@@ -12,6 +12,8 @@
 import random
 from collections.abc import Iterator
 
+import msgspec
+
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.knowledge import peer_messages
@@ -97,7 +99,7 @@
         yield from sent
 
     def _send(self, datagram: bytes, target: tuple[str, int]) -> None:
-        upstream = '' if target[0] == '127.0.0.1' else target[0]
+        upstream = _NOBODY if target == plain_codec.CALLER else target[0]
         self.sent.append((plain_codec.flow_of(datagram), upstream))
 
 
@@ -139,7 +141,7 @@
         self._reporters = []
         for index, domain in enumerate(domains):
             control = f'127.0.0.1:{index + 3}'
-            settings = _with(
+            settings = msgspec.structs.replace(
                 self._settings,
                 domain=domain,
                 control=control,
@@ -464,13 +466,6 @@
     return RoutingConfig(1, routes, {SERVICE: ServicePolicy(0, CONNECTIONS)})
 
 
-def _with(settings: TokenNodeSettings, **changes: object) -> TokenNodeSettings:
-    fields = {
-        name: getattr(settings, name) for name in settings.__struct_fields__
-    }
-    return TokenNodeSettings(**{**fields, **changes})
-
-
 def _take_over(vm: PlayedEntryVm, ejected: list[tuple[str, float]]) -> None:
     for name, left_s in ejected:
         vm.path.outliers.take_over(name, left_s, PUBLISHER)
--- a/packages/tools/src/hibiscushatch_tools/plain_codec.py
+++ b/packages/tools/src/hibiscushatch_tools/plain_codec.py
@@ -16,9 +16,10 @@
 COPY_TIMES_S = (0.0, 0.2, 0.6)
 ENDPOINT_ADDRESS = bytes((198, 18, 0, 1))
 FIRST_PORT = 443
+# Where resets go.
+CALLER = ('127.0.0.1', 1)
 
 _PACKET = struct.Struct('>QIBBB')
-_CALLER = ('127.0.0.1', 1)
 
 
 def packet_of(
@@ -69,4 +70,4 @@
 
     def reset(self, packet: FlowPacket) -> Reset:
         """Build a reset, which names the flow as the packet does."""
-        return Reset(packet.datagram, _CALLER)
+        return Reset(packet.datagram, CALLER)
