--- a/packages/core/src/hibiscushatch_core/counters.py
+++ b/packages/core/src/hibiscushatch_core/counters.py
@@ -27,6 +27,8 @@
         control_bytes_sent: Bytes of peer messages sent.
         control_bytes_received: Bytes of peer messages received.
         platform_calls: Calls to the platform's key-value service.
+        store_rollbacks: How often the platform's key-value service was seen to
+            come back from an older copy of itself.
         bucket_moves: Moves of buckets that this VM started.
         unexpected_errors: Exceptions on the packet path that no drop reason
             covers.
@@ -53,5 +55,6 @@
     control_bytes_sent: int = 0
     control_bytes_received: int = 0
     platform_calls: int = 0
+    store_rollbacks: int = 0
     bucket_moves: int = 0
     unexpected_errors: int = 0
--- a/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
+++ b/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
@@ -93,13 +93,16 @@
         state = 'cut off'
     yield (
         f'{status.vm} in {status.domain}: {state}, configuration '
-        f'{status.config_version}, store revision {status.store_revision} '
-        f'{status.store_age_s} s ago, {status.open_flows} flows'
+        f'{status.config_version}, store era {status.store_era} revision '
+        f'{status.store_revision} {status.store_age_s} s ago, '
+        f'{status.open_flows} flows'
     )
     follows = ', '.join(status.follows) or 'none'
     yield f'  follows: {follows}; sends changes to {status.serves} entry VMs'
     if status.evacuated:
         yield f'  evacuated: {", ".join(status.evacuated)}'
+    if status.withheld_upstreams:
+        yield f'  outdated entries: {", ".join(status.withheld_upstreams)}'
     for upstream in status.upstreams:
         yield _upstream_line(upstream)
 
--- a/packages/ops/tests/entry_vm_command_test.py
+++ b/packages/ops/tests/entry_vm_command_test.py
@@ -29,6 +29,8 @@
             'i-1', 'booking', 'pos-a', False, True, 'usable', True, True, 3
         )
     ],
+    store_era=2,
+    withheld_upstreams=['i-9'],
 )
 
 
@@ -57,7 +59,9 @@
     )
     await server.start()
     text = (await run(address, silent)).stdout
-    assert 'vm-1 in pos-a: ready, configuration 7, store revision 40' in text
+    assert (
+        'vm-1 in pos-a: ready, configuration 7, store era 2 revision 40' in text
+    )
     assert 'evacuated: pos-b' in text
     assert '3 flows, usable, cold, slow' in text
     assert f'no answer: {silent}' in text
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -175,7 +175,8 @@
             'ready',
             extra={
                 'vm': self._settings.name,
-                'revision': self._replication.replica.revision,
+                'era': self._replication.replica.position.era,
+                'revision': self._replication.replica.position.revision,
             },
         )
         await self._start_operator_server()
@@ -216,7 +217,9 @@
             ready=self._is_in_rotation(),
             cut_off=self._partition.is_cut_off,
             config_version=routing.config.version,
-            store_revision=replica.revision,
+            store_era=replica.position.era,
+            store_revision=replica.position.revision,
+            withheld_upstreams=sorted(replica.withheld),
             store_age_s=round(replica.age_s, 3),
             known_entry_vms=self._count_fleet(),
             follows=self._replication.subscriber.followed,
--- a/packages/token/src/hibiscushatch_token/http1.py
+++ b/packages/token/src/hibiscushatch_token/http1.py
@@ -28,11 +28,19 @@
 
 
 class Response(msgspec.Struct, frozen=True):
-    """Status, body and content type of an HTTP response."""
+    """An HTTP response.
+
+    Attributes:
+        status: Status code.
+        body: The body.
+        content_type: Content type of a response that is sent.
+        headers: Headers of a response that was received, by lower-case name.
+    """
 
     status: int
     body: bytes
     content_type: bytes = b'text/plain'
+    headers: dict[bytes, bytes] = {}
 
 
 class _ResponseEvents:
@@ -40,8 +48,13 @@
 
     def __init__(self) -> None:
         self.chunks: list[bytes] = []
+        self.headers: dict[bytes, bytes] = {}
         self.is_complete = False
 
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Record a header."""
+        self.headers[name.lower()] = text
+
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body."""
         self.chunks.append(chunk)
@@ -156,7 +169,11 @@
                 raise MalformedAnswerError(str(error)) from error
         if not parser.should_keep_alive():
             self.close()
-        return Response(parser.get_status_code(), b''.join(events.chunks))
+        return Response(
+            parser.get_status_code(),
+            b''.join(events.chunks),
+            headers=events.headers,
+        )
 
 
 class Server:
--- a/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
@@ -5,6 +5,7 @@
 size in JSON.
 """
 
+import itertools
 import socket
 import zlib
 from collections.abc import Iterable
@@ -14,10 +15,17 @@
 
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.knowledge.replica import EarlierState
+from hibiscushatch_token.model import EntryVersion
+from hibiscushatch_token.ports import Position
 from hibiscushatch_token.settings import socket_address
 
 MS_PER_S = 1000
 _PORT_MAX = 65535
+# Options in the query string of a request for missing changes.
+_KEYS_OPTION = 'keys'
+_ERA_OPTION = 'era='
+_EARLIER_OPTION = 'earlier'
 # Above the number of failures that an entry VM can observe between two reports.
 _FAILURES_MAX = 100_000
 _EJECTION_MS_MAX = 3_600_000
@@ -128,6 +136,10 @@
         before: Revision of the store before these changes.
         items: All changes after ``before`` up to ``revision``.
         ejections: Ejected upstreams; only heartbeats carry them.
+        era: Era of the store to which the revisions belong; 0 if the sender
+            does not know of eras.
+        is_reconciling: Whether the sender knows what was in force before the
+            era, and writers may still have to write it again.
     """
 
     vm: str
@@ -140,6 +152,40 @@
     before: int
     items: list[Item] = []
     ejections: list[EjectedUpstream] = []
+    era: int = 0
+    is_reconciling: bool = False
+
+    @property
+    def position(self) -> Position:
+        """Position of the store after the changes."""
+        return Position(self.era, self.revision)
+
+    @property
+    def before_position(self) -> Position:
+        """Position of the store before the changes."""
+        return Position(self.era, self.before)
+
+
+class RemovedUpstream(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that left, and its latest statement."""
+
+    upstream: str
+    version: EntryVersion
+
+
+class Earlier(msgspec.Struct, frozen=True):
+    """What was in force before the store came back from an older copy.
+
+    Attributes:
+        items: The configuration, and entries of listed upstreams that the copy
+            lacks or has older.
+        evacuated: Evacuated failure domains that the copy lacks.
+        removed: Upstreams that left recently.
+    """
+
+    items: list[Item]
+    evacuated: list[str]
+    removed: list[RemovedUpstream]
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag='snapshot'):
@@ -149,11 +195,16 @@
         revision: Revision of the store that the items reflect.
         age_ms: Time since the sender's replica was known to be up to date.
         items: The items; the value is left out if the reader already has it.
+        era: Era of the store to which the revision belongs.
+        earlier: What was in force before the era, while writers may still have
+            to write it again.
     """
 
     revision: int
     age_ms: int
     items: list[Item]
+    era: int = 0
+    earlier: Earlier | None = None
 
 
 class Refresh(msgspec.Struct, frozen=True, tag='refresh'):
@@ -165,12 +216,14 @@
         items: Items written after the revision that the reader asked for.
         checksum: Checksum of all keys. A reader whose keys differ has missed
             deletions.
+        era: Era of the store to which the revision belongs.
     """
 
     revision: int
     age_ms: int
     items: list[Item]
     checksum: int
+    era: int = 0
 
 
 class Delta(msgspec.Struct, frozen=True, tag='delta'):
@@ -181,12 +234,29 @@
         revision: Revision of the store after them.
         age_ms: Time since the sender's replica was known to be up to date.
         items: The changes.
+        era: Era of the store to which both revisions belong.
     """
 
     before: int
     revision: int
     age_ms: int
     items: list[Item]
+    era: int = 0
+
+
+class CatchUpQuery(msgspec.Struct, frozen=True):
+    """A request for missing changes.
+
+    Attributes:
+        after: Position of the reader.
+        needs_all_keys: Whether the reader has missed deletions.
+        needs_earlier_state: Whether the reader asks for what was in force
+            before the era.
+    """
+
+    after: Position
+    needs_all_keys: bool = False
+    needs_earlier_state: bool = False
 
 
 CatchUp = Snapshot | Refresh | Delta
@@ -267,11 +337,67 @@
     ]
 
 
+def encode_earlier_state(earlier: EarlierState) -> Earlier:
+    """Convert what was known before a rollback into its wire form."""
+    return Earlier(
+        items_from_stored(earlier.items, 0),
+        sorted(earlier.evacuated),
+        list(itertools.starmap(RemovedUpstream, earlier.removed.items())),
+    )
+
+
+def decode_earlier_state(message: Earlier) -> EarlierState:
+    """Convert the wire form of what was known before a rollback."""
+    return EarlierState(
+        tuple(
+            StoredValue(item.key, item.value, item.revision)
+            for item in message.items
+            if item.value is not None
+        ),
+        frozenset(message.evacuated),
+        {entry.upstream: entry.version for entry in message.removed},
+    )
+
+
+def build_query(query: CatchUpQuery) -> str:
+    """Write the query string of a request for missing changes."""
+    options = [str(query.after.revision)]
+    if query.needs_all_keys:
+        options.append(_KEYS_OPTION)
+    if query.after.era:
+        options.append(f'{_ERA_OPTION}{query.after.era}')
+    if query.needs_earlier_state:
+        options.append(_EARLIER_OPTION)
+    return '&'.join(options)
+
+
+def parse_query(query: bytes) -> CatchUpQuery:
+    """Read the query string of a request for missing changes.
+
+    Numbers that can't be read count as 0, so that the response has all items.
+    """
+    revision, *options = query.decode('ascii', 'replace').split('&')
+    eras = (
+        option.removeprefix(_ERA_OPTION)
+        for option in options
+        if option.startswith(_ERA_OPTION)
+    )
+    return CatchUpQuery(
+        Position(_parse_number(next(eras, '')), _parse_number(revision)),
+        _KEYS_OPTION in options,
+        _EARLIER_OPTION in options,
+    )
+
+
 def checksum_of_keys(keys: Iterable[str]) -> int:
     """Return a checksum of a set of keys."""
     return zlib.crc32('\n'.join(sorted(keys)).encode())
 
 
+def _parse_number(text: str) -> int:
+    return int(text) if text.isdecimal() else 0
+
+
 def _decompress(compressed: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     message = decompressor.decompress(compressed, _MESSAGE_BYTES_MAX)
--- a/packages/token/src/hibiscushatch_token/knowledge/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -2,9 +2,10 @@
 
 The store counts each call, so only a few entry VMs, the publishers, read it and
 announce what they read to their subscribers. A change is sent at once, in
-datagrams. Each announcement, heartbeats included, carries the revision that it
+datagrams. Each announcement, heartbeats included, carries the position that it
 leads to, so that a subscriber notices missed changes and fetches them: the
-changes since its own revision or, when those are no longer kept, the items.
+changes since its own position or, when those are no longer kept or the store
+has come back from an older copy of itself since, the items.
 
 Traffic between failure domains costs the users money, and the bandwidth of a
 publisher is limited. So a publisher serves only a few entry VMs of each domain,
@@ -31,7 +32,7 @@
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.replica import StoreReplica
-from hibiscushatch_token.ports import Changes
+from hibiscushatch_token.ports import NO_POSITION, Changes, Position
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 HEARTBEAT_S = 0.5
@@ -101,8 +102,8 @@
         self._subscribers: dict[Address, _Subscriber] = {}
         self._heartbeats_sent_at = float('-inf')
         self._change_log: collections.deque[WatchEvent] = collections.deque()
-        # The log has all changes after this revision.
-        self._change_log_after = 0
+        # The log has all changes of this era after this revision.
+        self._change_log_after = NO_POSITION
 
     @property
     def served(self) -> int:
@@ -153,7 +154,7 @@
             message.is_counted,
         )
         self._subscribers[address] = subscriber
-        if is_new and self._replica.revision:
+        if is_new and not self._replica.is_empty:
             self._send(self._encode_heartbeat(), address)
         if self._settings.is_publisher and message.is_counted:
             self._refer_to_relay(subscriber, address)
@@ -163,19 +164,24 @@
         self._subscribers.pop(socket_address(message.control), None)
 
     def announce_changes(
-        self, before: int, changes: Changes, is_from_peer: bool
+        self, before: Position, changes: Changes, is_from_peer: bool
     ) -> None:
         """Announce changes that have been merged into the replica.
 
         Args:
-            before: Revision of the replica before the changes.
+            before: Position of the replica before the changes.
             changes: The changes that were new to the replica.
             is_from_peer: Whether the changes come from another entry VM, which
                 has sent them to all publishers itself.
         """
+        if before.era != changes.position.era:
+            # Subscribers fetch all items of the new era.
+            self._change_log.clear()
+            self.send_heartbeats()
+            return
         if not changes.events:
             return
-        if not before:
+        if before == NO_POSITION:
             # Subscribers have read a first listing of their own, and this one
             # would take up the whole change log.
             self.send_heartbeats()
@@ -190,19 +196,20 @@
         self.send_update(addresses, before, changes)
 
     def send_update(
-        self, addresses: Collection[Address], before: int, changes: Changes
+        self, addresses: Collection[Address], before: Position, changes: Changes
     ) -> None:
         """Send changes to entry VMs, or a heartbeat when there are none.
 
         Args:
             addresses: Control addresses of the entry VMs.
-            before: Revision of the replica before the changes.
+            before: Position of the replica before the changes.
             changes: The changes that were new to the replica.
         """
         if not addresses:
             return
         datagrams: Iterable[bytes] = (self._encode_heartbeat(),)
-        if before and changes.events:
+        is_update = before.era == changes.position.era and before.revision
+        if is_update and changes.events:
             datagrams = self._encode_changes(before, changes)
         for datagram in datagrams:
             for address in addresses:
@@ -211,25 +218,24 @@
     def send_heartbeats(self) -> None:
         """Send a heartbeat to all subscribers."""
         self._heartbeats_sent_at = self._clock()
-        if self._replica.revision:
-            revision = self._replica.revision
-            self.send_update(self._subscribers, revision, Changes((), revision))
+        if not self._replica.is_empty:
+            position = self._replica.position
+            self.send_update(self._subscribers, position, Changes((), position))
 
     def respond_to_catch_up(self, query: bytes) -> http1.Response:
         """Respond to a reader that requests the changes it is missing.
 
         Args:
-            query: The reader's revision in decimal digits, followed by
-                ``&keys`` when the reader has missed deletions.
+            query: The reader's position, with the options of the request; see
+                CatchUpQuery.
 
         Returns:
-            The changes since that revision. When the change log does not reach
+            The changes since that position. When the change log does not reach
             back that far: the items written since, without deletions, or all
-            keys if the reader has no revision yet or has missed deletions.
+            keys if the reader has no position in this era yet or has missed
+            deletions.
         """
-        digits, _, option = query.partition(b'&')
-        after = int(digits) if digits.isdigit() else 0
-        message = self._build_catch_up(after, needs_all_keys=option == b'keys')
+        message = self._build_catch_up(peer_messages.parse_query(query))
         return http1.Response(
             http1.OK,
             peer_messages.encode(message),
@@ -255,10 +261,15 @@
             self._send(peer_messages.encode(referral), address)
 
     def _build_catch_up(
-        self, after: int, needs_all_keys: bool
+        self, query: peer_messages.CatchUpQuery
     ) -> peer_messages.CatchUp:
-        revision = self._replica.revision
-        if self._change_log and self._change_log_after <= after:
+        position = self._replica.position
+        is_same_era = query.after.era == position.era
+        after = query.after.revision if is_same_era else 0
+        if query.needs_earlier_state or not after:
+            return self._build_snapshot(0)
+        has_changes = self._change_log and self._change_log_after <= query.after
+        if has_changes:
             missed = (
                 entry
                 for entry in self._change_log
@@ -266,19 +277,16 @@
             )
             return peer_messages.Delta(
                 after,
-                revision,
+                position.revision,
                 self._age_ms(),
                 peer_messages.items_from_events(missed),
+                position.era,
             )
-        if needs_all_keys or not after:
-            return peer_messages.Snapshot(
-                revision,
-                self._age_ms(),
-                peer_messages.items_from_stored(self._replica.items, after),
-            )
+        if query.needs_all_keys:
+            return self._build_snapshot(after)
         items = list(self._replica.items)
         return peer_messages.Refresh(
-            revision,
+            position.revision,
             self._age_ms(),
             [
                 peer_messages.Item(entry.key, entry.mod_revision, entry.value)
@@ -286,23 +294,44 @@
                 if entry.mod_revision > after
             ],
             peer_messages.checksum_of_keys(entry.key for entry in items),
+            position.era,
+        )
+
+    def _build_snapshot(self, after: int) -> peer_messages.Snapshot:
+        earlier = None
+        if self._replica.is_reconciling:
+            earlier = peer_messages.encode_earlier_state(
+                self._replica.earlier_state()
+            )
+        position = self._replica.position
+        return peer_messages.Snapshot(
+            position.revision,
+            self._age_ms(),
+            peer_messages.items_from_stored(self._replica.items, after),
+            position.era,
+            earlier,
         )
 
     def _append_to_change_log(
-        self, before: int, events: list[WatchEvent]
+        self, before: Position, events: list[WatchEvent]
     ) -> None:
         if not self._change_log:
             self._change_log_after = before
         self._change_log.extend(events)
         while len(self._change_log) > _CHANGE_LOG_MAX:
-            self._change_log_after = self._change_log.popleft().mod_revision
+            oldest = self._change_log.popleft()
+            self._change_log_after = Position(before.era, oldest.mod_revision)
 
-    def _encode_changes(self, before: int, changes: Changes) -> Iterator[bytes]:
+    def _encode_changes(
+        self, before: Position, changes: Changes
+    ) -> Iterator[bytes]:
         events = sorted(changes.events, key=_revision_of)
         groups = [
             list(group) for _, group in itertools.groupby(events, _revision_of)
         ]
-        return self._split_into_datagrams(before, groups, changes.revision)
+        return self._split_into_datagrams(
+            before.revision, groups, changes.position.revision
+        )
 
     def _split_into_datagrams(
         self, before: int, groups: list[list[WatchEvent]], revision: int
@@ -332,7 +361,7 @@
             )
 
     def _encode_heartbeat(self) -> bytes:
-        revision = self._replica.revision
+        revision = self._replica.position.revision
         longest_first = sorted(
             self._detector.active_ejections(), key=_remaining_s, reverse=True
         )
@@ -363,6 +392,8 @@
                 before,
                 items,
                 list(ejections),
+                self._replica.position.era,
+                self._replica.is_reconciling,
             )
         )
 
--- a/packages/token/src/hibiscushatch_token/knowledge/registry.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/registry.py
@@ -5,11 +5,19 @@
 
 import msgspec
 
-from hibiscushatch_token.model import Upstream
+from hibiscushatch_token.model import EntryVersion, Upstream
+from hibiscushatch_token.ports import NO_POSITION, Position
 
 _log = logging.getLogger(__name__)
 
 
+class _Removal(msgspec.Struct, frozen=True):
+    """When an upstream was removed, and its latest statement."""
+
+    removed_at: float
+    version: EntryVersion
+
+
 class Registry:
     """The listed upstreams, and removed ones that may still have open flows.
 
@@ -35,17 +43,17 @@
         self._by_service: dict[str, dict[str, Upstream]] = {}
         self._by_token: dict[int, Upstream] = {}
         self._cold_until: dict[str, float] = {}
-        self._removed_at: dict[str, float] = {}
+        self._removals: dict[str, _Removal] = {}
         # Names of listed upstreams that get no flows because another listed
         # upstream has the same token.
         self._excluded: set[str] = set()
-        self._revision = 0
+        self._position = NO_POSITION
         self._version = 0
 
     @property
-    def revision(self) -> int:
-        """Revision of the store at the latest change of an upstream."""
-        return self._revision
+    def position(self) -> Position:
+        """Position of the store at the latest change of an upstream."""
+        return self._position
 
     @property
     def version(self) -> int:
@@ -70,6 +78,28 @@
         """Find a listed upstream by its name."""
         return self._listed.get(name)
 
+    def removed(self) -> dict[str, EntryVersion]:
+        """Return the latest statements of upstreams removed recently."""
+        return {
+            name: removal.version for name, removal in self._removals.items()
+        }
+
+    def latest_version(self, name: str) -> EntryVersion | None:
+        """Return the latest known statement of an upstream, also a removed one.
+
+        Returns:
+            None for an upstream that is unknown or was removed longer ago than
+            flows live.
+        """
+        if name in self._listed:
+            return self._listed[name].version
+        removal = self._removals.get(name)
+        return None if removal is None else removal.version
+
+    def record_removal(self, name: str, version: EntryVersion) -> None:
+        """Record that an upstream which is not listed here was removed."""
+        self._removals[name] = _Removal(self._clock(), version)
+
     def by_token(self, token: int) -> Upstream | None:
         """Find an upstream by its token, also one that was removed recently."""
         return self._by_token.get(token)
@@ -84,21 +114,21 @@
         return self._clock() < self._cold_until.get(upstream.name, 0)
 
     def apply(
-        self, name: str, upstream: Upstream | None, revision: int
+        self, name: str, upstream: Upstream | None, position: Position
     ) -> None:
         """Apply a change of one upstream; None removes it."""
-        self._revision = revision
+        self._position = position
         previous = self._listed.get(name)
         if upstream is None:
-            self._remove(name, previous, revision)
+            self._remove(name, previous, position)
             return
         self._put(upstream, previous)
         if previous is None or previous.is_draining != upstream.is_draining:
-            _log_upstream('upstream listed', upstream, revision)
+            _log_upstream('upstream listed', upstream, position)
 
-    def load(self, upstreams: Iterable[Upstream], revision: int) -> None:
+    def load(self, upstreams: Iterable[Upstream], position: Position) -> None:
         """Apply the first listing, with one log line for all upstreams."""
-        self._revision = revision
+        self._position = position
         for upstream in upstreams:
             self._put(upstream, None)
         listed = self._listed.values()
@@ -110,7 +140,8 @@
                     listed_upstream.is_draining for listed_upstream in listed
                 ),
                 'services': len(self._by_service),
-                'revision': revision,
+                'era': position.era,
+                'revision': position.revision,
             },
         )
 
@@ -129,11 +160,11 @@
         oldest = now - self._flow_age_max_s
         expired = {
             name
-            for name, removed_at in self._removed_at.items()
-            if removed_at < oldest
+            for name, removal in self._removals.items()
+            if removal.removed_at < oldest
         }
         for name in expired:
-            self._removed_at.pop(name)
+            self._removals.pop(name)
         if expired:
             self._remove_tokens(expired)
 
@@ -149,14 +180,14 @@
 
     def _put(self, upstream: Upstream, previous: Upstream | None) -> None:
         name = upstream.name
-        if previous is None or _differs_besides_cold_s(previous, upstream):
+        if previous is None or _differs_for_flows(previous, upstream):
             self._version += 1
         if previous is None or previous.incarnation != upstream.incarnation:
             self._on_obsolete(upstream)
         if upstream.cold_s > 0:
             self._cold_until[name] = self._clock() + upstream.cold_s
         self._listed[name] = upstream
-        self._removed_at.pop(name, None)
+        self._removals.pop(name, None)
         if previous is not None and previous.service != upstream.service:
             self._by_service[previous.service].pop(name, None)
         if self._resolve_token_conflict(upstream):
@@ -164,15 +195,15 @@
             self._by_service.setdefault(upstream.service, {})[name] = upstream
 
     def _remove(
-        self, name: str, previous: Upstream | None, revision: int
+        self, name: str, previous: Upstream | None, position: Position
     ) -> None:
         if previous is None:
             return
         self._version += 1
         self._listed.pop(name)
-        self._removed_at[name] = self._clock()
+        self._removals[name] = _Removal(self._clock(), previous.version)
         self._by_service[previous.service].pop(name, None)
-        _log_upstream('upstream removed', previous, revision)
+        _log_upstream('upstream removed', previous, position)
         self._excluded.discard(name)
         for excluded_name in sorted(self._excluded):
             upstream = self._listed[excluded_name]
@@ -208,12 +239,16 @@
         return is_kept
 
 
-def _differs_besides_cold_s(before: Upstream, after: Upstream) -> bool:
-    # While an upstream warms up, only cold_s changes, and that is ignored.
-    return before != msgspec.structs.replace(after, cold_s=before.cold_s)
+def _differs_for_flows(before: Upstream, after: Upstream) -> bool:
+    # While an upstream warms up, only cold_s and the number of its entry
+    # change, and both are ignored.
+    version = EntryVersion(after.incarnation, before.version.sequence)
+    return before != msgspec.structs.replace(
+        after, cold_s=before.cold_s, version=version
+    )
 
 
-def _log_upstream(event: str, upstream: Upstream, revision: int) -> None:
+def _log_upstream(event: str, upstream: Upstream, position: Position) -> None:
     _log.info(
         event,
         extra={
@@ -224,6 +259,8 @@
             'draining': upstream.is_draining,
             'cold_s': upstream.cold_s,
             'incarnation': upstream.incarnation,
-            'revision': revision,
+            'sequence': upstream.version.sequence,
+            'era': position.era,
+            'revision': position.revision,
         },
     )
--- a/packages/token/src/hibiscushatch_token/knowledge/replica.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replica.py
@@ -1,9 +1,15 @@
 """A replica of the items in the platform's store.
 
 Listings and changes come from the store itself or from another entry VM, in
-any order and possibly repeated. Each carries a revision of the store. What is
-older than the replica is ignored, and changes are refused when the replica is
-missing earlier ones. What is new is applied to the routes and the registry.
+any order and possibly repeated. Each carries a position in the history of the
+store. What is older than the replica is ignored, and changes are refused when
+the replica is missing earlier ones. What is new is applied to the routes and
+the registry.
+
+The store may come back from an older copy of itself, which starts a new era. A
+listing of a later era replaces all items, whatever their revisions. As an older
+copy is not news, the modules registrations and evacuations decide what of it is
+obeyed.
 """
 
 import logging
@@ -11,26 +17,54 @@
 
 import msgspec
 
+from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.ports import StoredValue, WatchEvent
+from hibiscushatch_token.knowledge.evacuations import Evacuations
+from hibiscushatch_token.knowledge.registrations import (
+    Entry,
+    Registrations,
+    RollbackCounts,
+)
 from hibiscushatch_token.knowledge.registry import Registry
 from hibiscushatch_token.knowledge.routing import Routing
-from hibiscushatch_token.ports import Changes, Documents, Listing
+from hibiscushatch_token.model import EntryVersion
+from hibiscushatch_token.ports import (
+    NO_POSITION,
+    Changes,
+    Documents,
+    Listing,
+    Position,
+)
+from hibiscushatch_token.settings import StoreSettings
 
 _log = logging.getLogger(__name__)
 
 
+class EarlierState(msgspec.Struct, frozen=True):
+    """What was known before a rollback and is not in the store's copy.
+
+    Attributes:
+        items: The configuration in force, and the entries of listed upstreams
+            that the copy lacks or has older.
+        evacuated: Evacuated failure domains that the copy lacks.
+        removed: Latest statements of upstreams that left, by name.
+    """
+
+    items: tuple[StoredValue, ...]
+    evacuated: frozenset[str]
+    removed: dict[str, EntryVersion]
+
+
 class StoreReplica:
-    """The items by key, their revision, and when they were last up to date.
+    """The items by key, their position, and when they were last up to date.
 
     Args:
         documents: Parses the items.
         routing: Receives configurations and evacuations.
         registry: Receives changes of upstreams.
         clock: Returns monotonic seconds.
-        lapse_grace_s: How long upstreams without an entry are kept after an
-            outage of the store.
-        outage_s: The store counts as unavailable when the replica is older
-            than this.
+        settings: Settings for reading the store.
+        counters: Counters of this process.
     """
 
     def __init__(
@@ -39,25 +73,32 @@
         routing: Routing,
         registry: Registry,
         clock: Callable[[], float],
-        lapse_grace_s: float,
-        outage_s: float,
+        settings: StoreSettings,
+        counters: Counters,
     ) -> None:
         self._documents = documents
         self._routing = routing
         self._registry = registry
         self._clock = clock
-        self._lapse_grace_s = lapse_grace_s
-        self._outage_s = outage_s
+        self._settings = settings
+        self._registrations = Registrations(registry, clock, settings)
+        self._evacuations = Evacuations(routing, clock, settings)
         self._items: dict[str, StoredValue] = {}
-        self._revision = 0
+        self._position = NO_POSITION
         self._confirmed_at = clock()
-        self._grace_until = 0.0
-        self._missing: dict[str, int] = {}
+        self._counters = counters
+        self._earlier_items: dict[str, StoredValue] = {}
+        self._config_item: StoredValue | None = None
 
     @property
-    def revision(self) -> int:
-        """Store revision that the items reflect; 0 before the first listing."""
-        return self._revision
+    def position(self) -> Position:
+        """Position of the store that the items reflect."""
+        return self._position
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there has been no listing yet."""
+        return self._position == NO_POSITION
 
     @property
     def has_config(self) -> bool:
@@ -74,78 +115,199 @@
         """Age of the replica: seconds since it was known to be up to date."""
         return self._clock() - self._confirmed_at
 
+    @property
+    def is_reconciling(self) -> bool:
+        """Whether writers may still have to write again after a rollback."""
+        return (
+            self._registrations.is_reconciling
+            or self._evacuations.is_reconciling
+        )
+
+    @property
+    def withheld(self) -> Iterable[str]:
+        """Names of upstreams whose entries are outdated and not obeyed."""
+        return self._registrations.withheld
+
+    def earlier_state(self) -> EarlierState:
+        """Return what is in force although the store's copy lacks it."""
+        prefix = self._documents.registry_prefix
+        names = {*self._registrations.missing, *self._registrations.withheld}
+        entries = (self._earlier_items.get(prefix + name) for name in names)
+        candidates = (self._config_item, *entries)
+        return EarlierState(
+            tuple(filter(None, candidates)),
+            frozenset(self._evacuations.kept),
+            self._registry.removed(),
+        )
+
+    def merge_earlier_state(self, earlier: EarlierState) -> None:
+        """Apply what another entry VM knew before a rollback.
+
+        Args:
+            earlier: What the other entry VM knew.
+        """
+        self._apply_config(map(_event_of, earlier.items))
+        for item in earlier.items:
+            for entry in self._entries((_event_of(item),)):
+                if self._is_later_statement(entry):
+                    self._earlier_items[item.key] = item
+                    self._registry.apply(
+                        entry.name, entry.upstream, self._position
+                    )
+        for name, version in earlier.removed.items():
+            latest = self._registry.latest_version(name)
+            if latest is None or latest <= version:
+                self._registry.apply(name, None, self._position)
+                self._registry.record_removal(name, version)
+        self._reconcile_registrations()
+        self._evacuations.keep(earlier.evacuated, self._position)
+
     def merge_listing(self, listing: Listing) -> Changes:
         """Apply a complete listing unless it is older than the replica.
 
         Args:
-            listing: All items of the store at one revision.
+            listing: All items of the store at one position.
 
         Returns:
             The changes that it made to the replica.
         """
-        if listing.revision < self._revision:
-            return Changes((), self._revision)
+        position = listing.position
+        if position < self._position:
+            return Changes((), self._position)
+        if position.era > self._position.era and not self.is_empty:
+            return self._roll_back(listing)
         listed = {item.key for item in listing.items}
         events = [
-            WatchEvent(item.key, item.value, item.mod_revision)
+            _event_of(item)
             for item in listing.items
             if self._is_newer(item.key, item.mod_revision)
         ]
         events.extend(
-            WatchEvent(key, None, listing.revision)
+            WatchEvent(key, None, position.revision)
             for key in self._items.keys() - listed
         )
-        return self._apply(events, listing.revision)
+        return self._apply(events, position)
 
-    def merge_changes(self, before: int, changes: Changes) -> Changes | None:
-        """Apply all changes between two revisions of the store.
+    def merge_changes(
+        self, before: Position, changes: Changes
+    ) -> Changes | None:
+        """Apply all changes between two positions of one era of the store.
 
         Args:
-            before: Revision of the store before the changes.
-            changes: The changes and the revision after them.
+            before: Position of the store before the changes.
+            changes: The changes and the position after them.
 
         Returns:
             Those that were new to the replica; None when the replica has not
-            yet reached the revision before the changes.
+            yet reached the position before the changes.
         """
-        if before > self._revision:
+        if before > self._position:
             return None
+        if changes.position.era < self._position.era:
+            return Changes((), self._position)
         events = [
             event
             for event in changes.events
-            if event.mod_revision > self._revision
+            if event.mod_revision > self._position.revision
             and self._is_newer(event.key, event.mod_revision)
         ]
-        return self._apply(events, max(changes.revision, self._revision))
+        return self._apply(events, max(changes.position, self._position))
 
     def confirm_newest(self, age_s: float) -> None:
         """Record that the replica was up to date ``age_s`` seconds ago."""
         now = self._clock()
-        was_outage = self._revision > 0 and self.age_s > self._outage_s
-        if was_outage and age_s <= self._outage_s:
-            self._grace_until = now + self._lapse_grace_s
+        was_outage = not self.is_empty and self._is_outage()
+        if was_outage and age_s <= self._settings.outage_s:
+            self._registrations.start_grace()
             _log.info(
                 'up to date again',
                 extra={
-                    'revision': self._revision,
+                    'era': self._position.era,
+                    'revision': self._position.revision,
                     'outage_s': round(self.age_s, 3),
                 },
             )
         self._confirmed_at = max(self._confirmed_at, now - age_s)
 
     def expire(self) -> None:
-        """Remove upstreams whose entries did not return after an outage."""
-        if self._missing and self._clock() >= self._grace_until:
-            missing = self._missing
-            self._missing = {}
-            for name, revision in missing.items():
-                self._registry.apply(name, None, revision)
+        """Drop what was not written again in time after an outage."""
+        self._registrations.expire()
+        self._evacuations.expire()
+        if self._earlier_items and not self.is_reconciling:
+            self._earlier_items = {}
+
+    def _is_outage(self) -> bool:
+        return self.age_s > self._settings.outage_s
 
     def _is_newer(self, key: str, revision: int) -> bool:
         known = self._items.get(key)
         return known is None or known.mod_revision < revision
 
-    def _apply(self, events: list[WatchEvent], revision: int) -> Changes:
+    def _is_later_statement(self, entry: Entry) -> bool:
+        latest = self._registry.latest_version(entry.name)
+        return entry.upstream is not None and (
+            latest is None or entry.upstream.version > latest
+        )
+
+    def _roll_back(self, listing: Listing) -> Changes:
+        before = self._position
+        self._keep_earlier_items()
+        self._position = listing.position
+        self._items = {item.key: item for item in listing.items}
+        self._counters.store_rollbacks += 1
+        events = tuple(map(_event_of, listing.items))
+        self._apply_config(events)
+        self._evacuations.reconcile(
+            {
+                domain: item
+                for item in listing.items
+                for domain in self._evacuated_by(item)
+            },
+            listing.position,
+        )
+        counts = self._reconcile_registrations()
+        _log.warning(
+            'store came back from an older copy',
+            extra={
+                'era_before': before.era,
+                'revision_before': before.revision,
+                'era': listing.position.era,
+                'revision': listing.position.revision,
+                'config_version': self._routing.config.version,
+                'evacuations_kept': len(tuple(self._evacuations.kept)),
+                'entries_taken': counts.taken,
+                'entries_unchanged': counts.unchanged,
+                'entries_withheld': counts.withheld,
+                'entries_missing': counts.missing,
+            },
+        )
+        return Changes(events, listing.position)
+
+    def _keep_earlier_items(self) -> None:
+        # Where the items are outdated already since an earlier rollback, those
+        # from before it are kept.
+        prefix = self._documents.registry_prefix
+        outdated = {
+            prefix + name
+            for name in (
+                *self._registrations.missing,
+                *self._registrations.withheld,
+            )
+        }
+        still_in_force = {
+            key: item
+            for key, item in self._earlier_items.items()
+            if key in outdated
+        }
+        self._earlier_items = {**self._items, **still_in_force}
+
+    def _reconcile_registrations(self) -> RollbackCounts:
+        events = map(_event_of, self._items.values())
+        return self._registrations.reconcile(
+            self._entries(events), self._position
+        )
+
+    def _apply(self, events: list[WatchEvent], position: Position) -> Changes:
         for event in events:
             if event.value is None:
                 self._items.pop(event.key, None)
@@ -153,52 +315,66 @@
                 self._items[event.key] = StoredValue(
                     event.key, event.value, event.mod_revision
                 )
-        is_first = not self._revision
-        self._revision = revision
-        self._apply_operator_changes(events, revision)
-        registered = self._documents.read_upstreams(events)
+        is_first = self.is_empty
+        self._position = position
+        self._apply_config(events)
+        self._apply_evacuations(events)
+        entries = self._entries(events)
         if is_first:
-            listed = (upstream for _, upstream in registered)
-            self._registry.load(filter(None, listed), revision)
-            return Changes(tuple(events), revision)
-        for name, upstream in registered:
-            if upstream is None and self._may_have_lapsed(name):
-                self._missing[name] = revision
-            else:
-                self._missing.pop(name, None)
-                self._registry.apply(name, upstream, revision)
-        return Changes(tuple(events), revision)
-
-    def _may_have_lapsed(self, name: str) -> bool:
-        key = self._documents.registry_prefix + name
-        is_missing = key not in self._items
-        is_outage = self.age_s > self._outage_s
-        return is_missing and (is_outage or self._clock() < self._grace_until)
-
-    def _apply_operator_changes(
-        self, events: list[WatchEvent], revision: int
-    ) -> None:
+            self._registrations.load(entries, position)
+        else:
+            is_outage = self._is_outage()
+            for entry in entries:
+                self._registrations.change(entry, position, is_outage)
+        return Changes(tuple(events), position)
+
+    def _entries(self, events: Iterable[WatchEvent]) -> Iterator[Entry]:
+        for event in events:
+            for name, upstream in self._documents.read_upstreams((event,)):
+                is_deleted = event.value is None
+                yield Entry(name, upstream, event.mod_revision, is_deleted)
+
+    def _apply_config(self, events: Iterable[WatchEvent]) -> None:
+        key = self._documents.config_key
+        for event in events:
+            if event.key == key and event.value is not None:
+                self._apply_config_item(
+                    StoredValue(key, event.value, event.mod_revision)
+                )
+
+    def _apply_config_item(self, item: StoredValue) -> None:
         try:
-            config = self._documents.read_config(events)
+            config = self._documents.read_config((_event_of(item),))
         except (msgspec.MsgspecError, ValueError, OSError) as error:
             # The configuration in force stays. The store accepts only valid
             # ones, so this one is in a format that this version can't read.
             _log.error(
                 'configuration unreadable',
-                extra={'revision': revision, 'error': str(error)},
+                extra={
+                    'era': self._position.era,
+                    'revision': self._position.revision,
+                    'error': str(error),
+                },
             )
-            config = None
+            return
         if config is not None:
-            self._routing.apply_config(config, revision)
-        if any(self._documents.read_evacuations(events)):
-            evacuated = frozenset(self._evacuated_domains())
-            self._routing.set_evacuated(evacuated, revision)
-
-    def _evacuated_domains(self) -> Iterator[str]:
-        events = (
-            WatchEvent(item.key, item.value, item.mod_revision)
-            for item in self._items.values()
-        )
-        for domain, is_evacuated in self._documents.read_evacuations(events):
-            if is_evacuated:
-                yield domain
+            self._routing.apply_config(config, self._position)
+            if self._routing.config is config:
+                self._config_item = item
+
+    def _apply_evacuations(self, events: Iterable[WatchEvent]) -> None:
+        for event in events:
+            for domain, is_evacuated in self._documents.read_evacuations(
+                (event,)
+            ):
+                item = self._items.get(event.key) if is_evacuated else None
+                self._evacuations.change(domain, item, self._position)
+
+    def _evacuated_by(self, item: StoredValue) -> Iterator[str]:
+        evacuations = self._documents.read_evacuations((_event_of(item),))
+        for domain, _is_evacuated in evacuations:
+            yield domain
+
+
+def _event_of(item: StoredValue) -> WatchEvent:
+    return WatchEvent(item.key, item.value, item.mod_revision)
--- a/packages/token/src/hibiscushatch_token/knowledge/replication.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -13,7 +13,12 @@
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.knowledge.store_reader import StoreReader
 from hibiscushatch_token.knowledge.subscriber import SNAPSHOT_PATH, Subscriber
-from hibiscushatch_token.ports import Changes, Documents, Store
+from hibiscushatch_token.ports import (
+    Changes,
+    Documents,
+    Position,
+    Store,
+)
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 
@@ -51,8 +56,8 @@
             known.routing,
             known.registry,
             clock,
-            settings.store.lapse_grace_s,
-            settings.store.outage_s,
+            settings.store,
+            counters,
         )
         self.subscriber = Subscriber(
             settings,
@@ -119,7 +124,7 @@
     def _count_fleet(self) -> int:
         return max(self.subscriber.largest_fleet, self.subscriber.count_fleet())
 
-    def _on_confirmed(self, before: int, changes: Changes) -> None:
+    def _on_confirmed(self, before: Position, changes: Changes) -> None:
         # When another entry VM has read the store, the publishers most likely
         # could not. They get the changes and pass them on to the others.
         settings = self._settings
@@ -129,10 +134,10 @@
             ]
             self.publisher.send_update(addresses, before, changes)
 
-    def _on_store_changes(self, before: int, changes: Changes) -> None:
+    def _on_store_changes(self, before: Position, changes: Changes) -> None:
         self.publisher.announce_changes(before, changes, is_from_peer=False)
 
-    def _on_peer_changes(self, before: int, changes: Changes) -> None:
+    def _on_peer_changes(self, before: Position, changes: Changes) -> None:
         self.publisher.announce_changes(before, changes, is_from_peer=True)
 
     def _on_announcement(self, message: peer_messages.Announcement) -> None:
@@ -143,10 +148,9 @@
                 self._outliers.adopt_ejection(
                     ejection.upstream, remaining_s, message.control
                 )
-        if (
-            message.age_ms
-            <= self._settings.store.fresh_s * peer_messages.MS_PER_S
-        ):
+        fresh_ms = self._settings.store.fresh_s * peer_messages.MS_PER_S
+        is_current_era = message.era >= self.replica.position.era
+        if message.age_ms <= fresh_ms and is_current_era:
             self._turn.on_fresh_announcement(message.control)
         self.subscriber.on_announcement(message)
 
--- a/packages/token/src/hibiscushatch_token/knowledge/routing.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/routing.py
@@ -1,8 +1,9 @@
 """The routes and evacuations in force, as far as this entry VM knows.
 
-Each change is logged with the revision of the store that it comes from. A
+Each change is logged with the position of the store that it comes from. A
 configuration whose version is not above the one in force is never applied, so
-that a late answer can't restore an older configuration.
+that neither a late answer nor an older copy of the store can restore an older
+configuration.
 """
 
 import logging
@@ -13,6 +14,7 @@
     Route,
     RoutingConfig,
 )
+from hibiscushatch_token.ports import Position
 
 _log = logging.getLogger(__name__)
 
@@ -38,10 +40,19 @@
         """Return the route of an endpoint, or None."""
         return self._config.routes.get(endpoint)
 
-    def apply_config(self, config: RoutingConfig, revision: int) -> None:
+    def apply_config(self, config: RoutingConfig, position: Position) -> None:
         """Put a configuration in force unless its version is not higher."""
         previous_version = self._config.version
         if config.version <= previous_version:
+            if config.version == previous_version and config != self._config:
+                _log.error(
+                    'another configuration with the version in force',
+                    extra={
+                        'version': config.version,
+                        'era': position.era,
+                        'revision': position.revision,
+                    },
+                )
             return
         self._config = config
         _log.info(
@@ -49,12 +60,15 @@
             extra={
                 'version': config.version,
                 'replaced': previous_version,
-                'revision': revision,
+                'era': position.era,
+                'revision': position.revision,
                 'routes': len(config.routes),
             },
         )
 
-    def set_evacuated(self, domains: frozenset[str], revision: int) -> None:
+    def set_evacuated(
+        self, domains: frozenset[str], position: Position
+    ) -> None:
         """Replace the set of evacuated failure domains."""
         if domains == self._evacuated:
             return
@@ -63,6 +77,7 @@
             'evacuations changed',
             extra={
                 'domains': ','.join(sorted(domains)) or 'none',
-                'revision': revision,
+                'era': position.era,
+                'revision': position.revision,
             },
         )
--- a/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -2,9 +2,13 @@
 
 The module reading_turn decides whose turn it is. The reader lists all items at
 its start and whenever the store has lost the history that a watch needs.
-Otherwise it watches for changes after the replica's revision, whether that came
+Otherwise it watches for changes after the replica's position, whether that came
 from the store or from a peer.
 
+A store that has come back from an older copy of itself answers a watch as if
+its history were lost. An answer from an earlier era, as a part of the platform
+that is cut off may give, counts as a failed call.
+
 The first listing may be some seconds old, which costs the platform less, as the
 whole fleet may start at once. The process then gets the changes after it from a
 publisher or by its first watch.
@@ -15,11 +19,20 @@
 from collections.abc import Callable
 
 from hibiscushatch_core.counters import Counters
-from hibiscushatch_core.errors import PlatformError
+from hibiscushatch_core.errors import (
+    PlatformError,
+    PlatformUnavailableError,
+)
 from hibiscushatch_core.reasons import RetryReason
 from hibiscushatch_token.knowledge.reading_turn import ReadingTurn
 from hibiscushatch_token.knowledge.replica import StoreReplica
-from hibiscushatch_token.ports import Changes, HistoryLostError, Store
+from hibiscushatch_token.ports import (
+    Changes,
+    HistoryLostError,
+    Listing,
+    Position,
+    Store,
+)
 from hibiscushatch_token.settings import StoreSettings
 
 _RETRY_GROWTH = 2.0
@@ -39,7 +52,7 @@
         replica: The replica to keep up to date.
         counters: Counters of this process.
         turn: Decides when to read.
-        on_changes: Called after each read with the replica's revision before it
+        on_changes: Called after each read with the replica's position before it
             and the changes that were new, of which there may be none.
         on_confirmed: Called after on_changes, with the same arguments, when the
             read has shown that the replica is up to date.
@@ -52,8 +65,8 @@
         replica: StoreReplica,
         counters: Counters,
         turn: ReadingTurn,
-        on_changes: Callable[[int, Changes], None],
-        on_confirmed: Callable[[int, Changes], None],
+        on_changes: Callable[[Position, Changes], None],
+        on_confirmed: Callable[[Position, Changes], None],
     ) -> None:
         self._settings = settings
         self._store = store
@@ -82,9 +95,10 @@
                 await self._wait_before_retry()
 
     async def _read(self) -> None:
-        before = self._replica.revision
+        before = self._replica.position
+        is_first = self._replica.is_empty
         self._counters.platform_calls += 1
-        if before and self._has_history:
+        if not is_first and self._has_history:
             changes = await self._store.watch(
                 before, self._settings.watch_wait_s
             )
@@ -93,16 +107,25 @@
             if changes.events:
                 await asyncio.sleep(_BATCH_WAIT_S)
             return
-        is_first = before == 0
         listing = await self._store.read_all(allow_stale=is_first)
+        self._check_era(listing)
         merged = self._replica.merge_listing(listing)
         # A first listing without a configuration is from before the operators
         # wrote one; the next read is another listing.
         self._has_history = not is_first or self._replica.has_config
         self._on_read(before, merged, is_confirmed=not is_first)
 
+    def _check_era(self, listing: Listing) -> None:
+        known = self._replica.position.era
+        if listing.position.era < known:
+            raise PlatformUnavailableError(
+                'listing',
+                self._settings.address,
+                f'era {listing.position.era}, known is {known}',
+            )
+
     def _on_read(
-        self, before: int, merged: Changes | None, is_confirmed: bool
+        self, before: Position, merged: Changes | None, is_confirmed: bool
     ) -> None:
         self._record_success()
         if is_confirmed:
@@ -126,7 +149,8 @@
                 'store lost',
                 extra={
                     'reason': reason.value,
-                    'revision': self._replica.revision,
+                    'era': self._replica.position.era,
+                    'revision': self._replica.position.revision,
                     'age_s': round(self._replica.age_s, 3),
                     'error': str(error),
                 },
@@ -137,5 +161,9 @@
         if self._is_store_lost:
             self._is_store_lost = False
             _log.info(
-                'store regained', extra={'revision': self._replica.revision}
+                'store regained',
+                extra={
+                    'era': self._replica.position.era,
+                    'revision': self._replica.position.revision,
+                },
             )
--- a/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
@@ -17,7 +17,7 @@
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.publisher import PEER_TIMEOUT_S, SendDatagram
 from hibiscushatch_token.knowledge.replica import StoreReplica
-from hibiscushatch_token.ports import Changes, Listing
+from hibiscushatch_token.ports import Changes, Listing, Position
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
 
 SNAPSHOT_PATH = '/v1/snapshot'
@@ -60,7 +60,7 @@
         replica: The replica to keep up to date.
         clock: Returns monotonic seconds.
         send: Sends a datagram.
-        on_changes: Called with the replica's revision before changes and with
+        on_changes: Called with the replica's position before changes and with
             those changes that were new to it.
         on_unchanged: Called when a publisher has announced that nothing has
             changed and this entry VM has to pass that on.
@@ -73,7 +73,7 @@
         replica: StoreReplica,
         clock: Callable[[], float],
         send: SendDatagram,
-        on_changes: Callable[[int, Changes], None],
+        on_changes: Callable[[Position, Changes], None],
         on_unchanged: Callable[[], None],
         count_served: Callable[[], int],
     ) -> None:
@@ -96,6 +96,10 @@
         self._announced_fleet = 0
         self._fetch_needed = asyncio.Event()
         self._fetch_address = ''
+        # The era for which a peer has sent what was in force before it.
+        self._earlier_state_era = 0
+        self._started_at = clock()
+        self._is_confirmed_by_peer = False
 
     @property
     def largest_fleet(self) -> int:
@@ -136,6 +140,7 @@
 
     def subscribe(self) -> None:
         """Choose which entry VMs to follow, and update the subscriptions."""
+        self._warn_if_alone()
         chosen = self._choose_sources()
         if chosen != self._followed:
             self._unsubscribe_except(chosen)
@@ -158,26 +163,28 @@
         self._announced_fleet = message.fleet
         self._largest_fleet = max(self._largest_fleet, message.fleet)
         self._record_source(message)
-        before = self._replica.revision
-        if message.revision < before:
+        before = self._replica.position
+        if message.position < before:
             return
+        self._is_confirmed_by_peer = True
         age_s = message.age_ms / peer_messages.MS_PER_S
-        if message.revision == before:
+        if self._needs_earlier_state(message):
+            self._request_fetch(message.control)
+        if message.position == before:
             was_current = self._is_current
             self._replica.confirm_newest(age_s)
             if self._should_pass_on(message, was_current):
                 self._on_unchanged()
         else:
             changes = self._replica.merge_changes(
-                message.before,
+                message.before_position,
                 Changes(
                     peer_messages.events_from_items(message.items),
-                    message.revision,
+                    message.position,
                 ),
             )
             if changes is None:
-                self._fetch_address = message.control
-                self._fetch_needed.set()
+                self._request_fetch(message.control)
                 return
             self._replica.confirm_newest(age_s)
             self._on_changes(before, changes)
@@ -200,6 +207,29 @@
     def _is_current(self) -> bool:
         return self._replica.age_s <= self._settings.store.fresh_s
 
+    def _needs_earlier_state(self, message: peer_messages.Announcement) -> bool:
+        return message.is_reconciling and message.era > self._earlier_state_era
+
+    def _request_fetch(self, control: str) -> None:
+        self._fetch_address = control
+        self._fetch_needed.set()
+
+    def _warn_if_alone(self) -> None:
+        # Another entry VM would know whether the store has just come back from
+        # an older copy, and what that copy lacks.
+        if self._is_confirmed_by_peer or self._replica.is_empty:
+            return
+        if self._clock() - self._started_at > PEER_TIMEOUT_S and self._sources:
+            self._is_confirmed_by_peer = True
+            _log.warning(
+                'no entry VM has confirmed what the store lists',
+                extra={
+                    'peers': ','.join(self._sources),
+                    'era': self._replica.position.era,
+                    'revision': self._replica.position.revision,
+                },
+            )
+
     def _should_pass_on(
         self, message: peer_messages.Announcement, was_current: bool
     ) -> bool:
@@ -223,7 +253,9 @@
             source.heard_at = self._clock()
             source.domain = message.domain
             source.served = message.served
-            source.is_current = message.age_ms <= _CURRENT_AGE_MS_MAX
+            is_current_era = message.era >= self._replica.position.era
+            is_recent = message.age_ms <= _CURRENT_AGE_MS_MAX
+            source.is_current = is_current_era and is_recent
             self._ensure_counted(message.control, source)
 
     def _ensure_counted(self, control: str, source: _Source) -> None:
@@ -290,17 +322,17 @@
         return self._clock() - source.heard_at < PEER_TIMEOUT_S
 
     async def _fetch_from(self, peer: str) -> None:
-        before = self._replica.revision
         connection = ClientConnection(socket_address(peer))
         try:
-            for option in ('', '&keys'):
+            for needs_all_keys in (False, True):
+                query = self._build_query(needs_all_keys)
                 response = await connection.call(
                     'GET',
-                    f'{SNAPSHOT_PATH}?{before}{option}',
+                    f'{SNAPSHOT_PATH}?{peer_messages.build_query(query)}',
                     b'',
                     _SNAPSHOT_TIMEOUT_S,
                 )
-                if self._merge_catch_up(before, response.body, peer):
+                if self._merge_catch_up(response.body, peer):
                     break
         except (OSError, PeerError) as error:
             # The next announcement triggers another fetch.
@@ -311,7 +343,15 @@
         finally:
             connection.close()
 
-    def _merge_catch_up(self, before: int, body: bytes, peer: str) -> bool:
+    def _build_query(self, needs_all_keys: bool) -> peer_messages.CatchUpQuery:
+        position = self._replica.position
+        return peer_messages.CatchUpQuery(
+            position,
+            needs_all_keys,
+            needs_earlier_state=position.era > self._earlier_state_era,
+        )
+
+    def _merge_catch_up(self, body: bytes, peer: str) -> bool:
         """Merge the response of a peer to a request for missing changes.
 
         Returns:
@@ -319,25 +359,41 @@
             all keys has to be requested.
         """
         message = peer_messages.decode_catch_up(body, peer)
+        position = Position(message.era, message.revision)
+        before = self._replica.position
         if isinstance(message, peer_messages.Delta):
             events = peer_messages.events_from_items(message.items)
             changes = self._replica.merge_changes(
-                message.before, Changes(events, message.revision)
+                Position(message.era, message.before),
+                Changes(events, position),
             )
         else:
-            listing = self._build_listing(message)
+            listing = self._build_listing(message, position)
             if listing is None:
                 return False
             changes = self._replica.merge_listing(listing)
-        if changes is not None and self._replica.revision == message.revision:
+        if isinstance(message, peer_messages.Snapshot):
+            self._merge_earlier_state(message)
+        if changes is not None and self._replica.position == position:
             self._replica.confirm_newest(
                 message.age_ms / peer_messages.MS_PER_S
             )
             self._on_changes(before, changes)
         return True
 
+    def _merge_earlier_state(self, message: peer_messages.Snapshot) -> None:
+        is_current_era = message.era == self._replica.position.era
+        if message.earlier is None or not is_current_era:
+            return
+        self._earlier_state_era = message.era
+        self._replica.merge_earlier_state(
+            peer_messages.decode_earlier_state(message.earlier)
+        )
+
     def _build_listing(
-        self, message: peer_messages.Snapshot | peer_messages.Refresh
+        self,
+        message: peer_messages.Snapshot | peer_messages.Refresh,
+        position: Position,
     ) -> Listing | None:
         known = {item.key: item for item in self._replica.items}
         listed = {
@@ -352,4 +408,4 @@
         else:
             kept = (entry.key for entry in message.items if entry.key in known)
             listed = {**{key: known[key] for key in kept}, **listed}
-        return Listing(tuple(listed.values()), message.revision)
+        return Listing(tuple(listed.values()), position)
--- a/packages/token/src/hibiscushatch_token/metrics.py
+++ b/packages/token/src/hibiscushatch_token/metrics.py
@@ -68,11 +68,21 @@
         'Version of the configuration in force.',
         vm_status.config_version,
     )
+    yield GaugeReading(
+        'store_era',
+        'How often the store came back from an older copy.',
+        vm_status.store_era,
+    )
     yield GaugeReading(
         'store_revision',
-        'Revision of the store that was reached.',
+        'Revision of the store that was reached in this era.',
         vm_status.store_revision,
     )
+    yield GaugeReading(
+        'withheld_upstreams',
+        'Upstreams whose entries are outdated and not obeyed.',
+        len(vm_status.withheld_upstreams),
+    )
     yield GaugeReading(
         'store_age_seconds',
         'Time since that was known to be the newest revision.',
--- a/packages/token/src/hibiscushatch_token/model.py
+++ b/packages/token/src/hibiscushatch_token/model.py
@@ -10,6 +10,20 @@
 Endpoint = tuple[bytes, int]
 
 
+class EntryVersion(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Identifies a statement of an upstream; a later one compares greater.
+
+    Attributes:
+        incarnation: Start of the upstream's process as Unix time in
+            milliseconds; 0 if its entry does not state it.
+        sequence: Number of the statement within the incarnation; 0 if its
+            entry does not state it.
+    """
+
+    incarnation: int
+    sequence: int
+
+
 class Upstream(msgspec.Struct, frozen=True):
     """An upstream as it is registered in the platform's store.
 
@@ -25,8 +39,7 @@
         is_draining: Whether it keeps its flows but must get no new ones.
         cold_s: How much longer it was going to be cold when its entry was
             written.
-        incarnation: Start of its process as Unix time in milliseconds; 0 if
-            its entry does not state it.
+        version: Incarnation of its process and number of its entry.
     """
 
     name: str
@@ -38,7 +51,12 @@
     slots: int
     is_draining: bool
     cold_s: float
-    incarnation: int
+    version: EntryVersion
+
+    @property
+    def incarnation(self) -> int:
+        """Start of its process as Unix time in ms; 0 if it is not stated."""
+        return self.version.incarnation
 
 
 class WeightedService(msgspec.Struct, frozen=True):
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -11,7 +11,10 @@
 
 
 class HistoryLostError(PlatformError):
-    """The store no longer has the changes after the revision to watch from."""
+    """The store does not have the changes after the position to watch from.
+
+    It has discarded them, or it has come back from an older copy of itself.
+    """
 
 
 class FlowPacket(msgspec.Struct):
@@ -81,17 +84,35 @@
         """Build a reset of the packet's flow, to be sent to its caller."""
 
 
+class Position(msgspec.Struct, frozen=True, order=True):
+    """A point in the history of the store; a later one compares greater.
+
+    Attributes:
+        era: How often the store came back from an older copy of itself. Each
+            time, revisions go back and are given out again. 0 if the store
+            does not state it.
+        revision: Revision of the store within the era; 0 before the first
+            listing.
+    """
+
+    era: int
+    revision: int
+
+
+NO_POSITION = Position(0, 0)
+
+
 class Listing(msgspec.Struct, frozen=True):
     """All items of the store.
 
     Attributes:
         items: The items, each with its key.
-        revision: Revision of the store; the items include all changes up to
+        position: Position of the store; the items include all changes up to
             it.
     """
 
     items: tuple[StoredValue, ...]
-    revision: int
+    position: Position
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -99,11 +120,11 @@
 
     Attributes:
         events: The changes; empty if the wait ended without one.
-        revision: Revision from which the next watch continues.
+        position: Position from which the next watch continues.
     """
 
     events: tuple[WatchEvent, ...]
-    revision: int
+    position: Position
 
 
 class Store(abc.ABC):
@@ -119,18 +140,24 @@
         Args:
             allow_stale: Whether the response may be some seconds old; such a
                 response costs the platform less.
+
+        Raises:
+            HistoryLostError: The era changed during the call.
         """
 
     @abc.abstractmethod
-    async def watch(self, revision: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision.
+    async def watch(self, after: Position, wait_s: float) -> Changes:
+        """Wait for changes after a position.
 
         Args:
-            revision: Revision of the store that is known already.
+            after: Position of the store that is known already.
             wait_s: Longest time to wait for a change.
 
         Raises:
-            HistoryLostError: The store has discarded some of the changes.
+            HistoryLostError: The store has discarded some of the changes, or
+                it is in a later era.
+            PlatformUnavailableError: The call failed, or the store is in an
+                earlier era.
         """
 
     @abc.abstractmethod
@@ -150,6 +177,11 @@
     def registry_prefix(self) -> str:
         """Prefix of the keys under which upstreams are registered."""
 
+    @property
+    @abc.abstractmethod
+    def config_key(self) -> str:
+        """Key of the configuration."""
+
     @abc.abstractmethod
     def read_config(self, events: Iterable[WatchEvent]) -> RoutingConfig | None:
         """Read the newest configuration among events; None if there is none."""
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -41,7 +41,13 @@
         retry_min_s: First pause after a failed call.
         retry_max_s: Longest pause after repeated failed calls.
         lapse_grace_s: How long entries that disappeared during an outage of
-            the store are still used after the outage.
+            the store, or that an older copy of the store lacks, are still used
+            after its return.
+        registration_lapse_s: Time after a return from an older copy in which
+            the entry of an upstream that has ended is certain to lapse: three
+            heartbeats of the upstream, the first of them late.
+        operator_rewrite_s: Time after a return from an older copy in which
+            operators write again what the copy lacks.
     """
 
     address: _Address
@@ -53,6 +59,8 @@
     retry_min_s: _Seconds = 0.1
     retry_max_s: _Seconds = 0.5
     lapse_grace_s: _Seconds = 2.2
+    registration_lapse_s: _Seconds = 6.0
+    operator_rewrite_s: _Seconds = 10.0
 
 
 class PlacementSettings(
--- a/packages/token/src/hibiscushatch_token/status.py
+++ b/packages/token/src/hibiscushatch_token/status.py
@@ -54,6 +54,10 @@
         open_flows: Flows opened here that are not known to have ended.
         evacuated: Failure domains that are evacuated and get no new flows.
         upstreams: All listed upstreams.
+        store_era: Era of the store: how often it came back from an older copy
+            of itself.
+        withheld_upstreams: Upstreams whose entries in the store are outdated
+            and not obeyed.
     """
 
     vm: str
@@ -69,6 +73,8 @@
     open_flows: int
     evacuated: list[str]
     upstreams: list[UpstreamStatus]
+    store_era: int = 0
+    withheld_upstreams: list[str] = []
 
 
 def respond(status: Status) -> http1.Response:
--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -274,7 +274,8 @@
                 'outstanding': self._flows.outstanding(upstream.name),
                 'tried': ','.join(tried),
                 'config': self._routing.config.version,
-                'revision': self._registry.revision,
+                'era': self._registry.position.era,
+                'revision': self._registry.position.revision,
             },
         )
         self._packet_exit.forward(packet, upstream)
--- a/packages/token/tests/failing_upstreams_test.py
+++ b/packages/token/tests/failing_upstreams_test.py
@@ -18,6 +18,7 @@
     PAYLOAD,
     SEED,
     VmHarness,
+    at,
     config,
     settings,
     upstream,
@@ -105,8 +106,8 @@
         vm = VmHarness(self.events.clock, VMS)
         for order, name in enumerate(NAMES):
             domain = DOMAINS[order % len(DOMAINS)]
-            vm.registry.apply(name, upstream(name, domain), 1)
-        vm.routing.apply_config(config(1), 1)
+            vm.registry.apply(name, upstream(name, domain), at(1))
+        vm.routing.apply_config(config(1), at(1))
         control = PUBLISHER if index == 0 else f'127.0.0.1:{index + 100}'
         reporter = FailureReporter(
             settings(control=control, publishers=[PUBLISHER]),
--- a/packages/token/tests/forwarder_test.py
+++ b/packages/token/tests/forwarder_test.py
@@ -15,7 +15,7 @@
 
 def test_packets_follow_their_token_after_the_upstream_was_removed() -> None:
     vm = vm_harness(upstream('a1'), upstream('a2'))
-    vm.registry.apply('a1', None, 2)
+    vm.registry.apply('a1', None, fixtures.at(2))
     assert vm.send_after_answer('f001', 'a1') == 'a1'
     assert vm.open('f002') == 'a2'
     vm.clock.now += 61
@@ -27,7 +27,8 @@
 def test_a_flow_without_a_route_is_refused_at_once() -> None:
     vm = vm_harness(upstream('a1'))
     vm.routing.apply_config(
-        fixtures.RoutingConfig(version=2, routes={}, services={}), 2
+        fixtures.RoutingConfig(version=2, routes={}, services={}),
+        fixtures.at(2),
     )
     assert vm.open('f001') == 'caller'
     assert vm.counters.refusals[RefusalReason.NO_ROUTE] == 1
@@ -80,8 +81,8 @@
     vm = vm_harness(upstream('a1'), upstream('a2'))
     vm.open('f001')
     vm.advance(0.2)
-    vm.registry.apply('a1', None, 2)
-    vm.registry.apply('a2', None, 2)
+    vm.registry.apply('a1', None, fixtures.at(2))
+    vm.registry.apply('a2', None, fixtures.at(2))
     vm.clock.now += 61
     vm.registry.expire()
     assert not vm.reachability._health_by_upstream
@@ -98,7 +99,7 @@
         vm.advance(0.2)
     assert vm.reachability.verdict(upstream('a1')).value != 'usable'
     restarted = upstream('a1', incarnation=2)
-    vm.registry.apply('a1', restarted, 3)
+    vm.registry.apply('a1', restarted, fixtures.at(3))
     assert vm.reachability.verdict(restarted).value == 'usable'
 
 
@@ -120,7 +121,7 @@
     second = msgspec.structs.replace(upstream('a2'), token=first.token)
     for order in ((first, second), (second, first)):
         vm = vm_harness(*order)
-        vm.registry.apply('a1', None, 2)
+        vm.registry.apply('a1', None, fixtures.at(2))
         assert vm.open('f001') == 'a2', order
-        vm.registry.apply('a2', None, 3)
+        vm.registry.apply('a2', None, fixtures.at(3))
         assert vm.open('f002') == '' or vm.sent[-1][0] == b'reset'
--- a/packages/token/tests/herd_test.py
+++ b/packages/token/tests/herd_test.py
@@ -8,7 +8,15 @@
 import collections
 import random
 
-from token_fixtures import LAST, SEED, FakeClock, VmHarness, config, upstream
+from token_fixtures import (
+    LAST,
+    SEED,
+    FakeClock,
+    VmHarness,
+    at,
+    config,
+    upstream,
+)
 
 VMS = 60
 UPSTREAMS = tuple(f'u{index:02}' for index in range(20))
@@ -24,14 +32,14 @@
         self._request_count = 0
         self.vms = [VmHarness(self.clock, VMS, seed) for seed in range(VMS)]
         for vm in self.vms:
-            vm.routing.apply_config(config(1), 1)
+            vm.routing.apply_config(config(1), at(1))
         for name in UPSTREAMS:
             self.list(name)
 
     def list(self, name: str) -> None:
         """Make an upstream known to all entry VMs."""
         for vm in self.vms:
-            vm.registry.apply(name, upstream(name), 1)
+            vm.registry.apply(name, upstream(name), at(1))
 
     def send_requests(self, requests: int) -> collections.Counter[str]:
         """Send short requests through random entry VMs; count upstreams."""
--- a/packages/token/tests/loaded_upstreams_test.py
+++ b/packages/token/tests/loaded_upstreams_test.py
@@ -15,6 +15,7 @@
     PAYLOAD,
     SEED,
     VmHarness,
+    at,
     config,
     settings,
     upstream,
@@ -100,8 +101,8 @@
         vm = VmHarness(self.events.clock, len(VM_DOMAINS), index, domain)
         for name, upstream_domain in UPSTREAMS.items():
             listed = upstream(name, upstream_domain, slots=SLOTS)
-            vm.registry.apply(name, listed, 1)
-        vm.routing.apply_config(config(1), 1)
+            vm.registry.apply(name, listed, at(1))
+        vm.routing.apply_config(config(1), at(1))
         reporter = FailureReporter(
             settings(control=control, publishers=[PUBLISHER]),
             vm.outliers,
@@ -119,7 +120,7 @@
     def _evacuate(self, domains: frozenset[str]) -> None:
         for vms in self._vms.values():
             for vm in vms:
-                vm.routing.set_evacuated(domains, 2)
+                vm.routing.set_evacuated(domains, at(2))
 
     def _send(self, datagram: bytes, _address: tuple[str, int]) -> None:
         report = peer_messages.decode_datagram(datagram, 'vm')
--- a/packages/token/tests/outlier_detector_test.py
+++ b/packages/token/tests/outlier_detector_test.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from token_fixtures import FakeClock, upstream
+from token_fixtures import FakeClock, at, upstream
 
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge.known_state import KnownState
@@ -23,7 +23,7 @@
     """Build a detector that knows the upstreams."""
     registry = Registry(clock, 60, lambda _upstream: None)
     for listed in upstreams:
-        registry.apply(listed.name, listed, 1)
+        registry.apply(listed.name, listed, at(1))
     known = KnownState(Routing(), registry, lambda: 1)
     return OutlierDetector(OutlierSettings(), known, clock)
 
--- a/packages/token/tests/placement_test.py
+++ b/packages/token/tests/placement_test.py
@@ -22,7 +22,7 @@
 def test_draining_and_evacuated_upstreams_get_no_new_flows() -> None:
     vm = vm_harness(upstream('a1', is_draining=True), upstream('b1', 'there'))
     assert vm.open('f001') == 'b1'
-    vm.routing.set_evacuated(frozenset(('there',)), 2)
+    vm.routing.set_evacuated(frozenset(('there',)), fixtures.at(2))
     assert vm.open('f002') == 'caller'
     assert vm.counters.refusals
 
--- a/packages/token/tests/publisher_test.py
+++ b/packages/token/tests/publisher_test.py
@@ -42,9 +42,9 @@
 
     def write(self, key: str, value: str | None, revision: int) -> None:
         """Merge a change into the publisher's replica and announce it."""
-        before = self.state.replica.revision
+        before = self.state.replica.position
         merged = self.state.replica.merge_changes(
-            before, change(key, value, revision)
+            before, change(key, value, revision, before.era)
         )
         self.state.replica.confirm_newest(0)
         self.publisher.announce_changes(before, merged, is_from_peer=False)
@@ -85,14 +85,12 @@
 
     def catch_up(self, sender: PublisherHarness) -> None:
         """Fetch the changes that are missing from a publisher."""
-        before = self.state.replica.revision
-        for option in (b'', b'&keys'):
+        for needs_all_keys in (False, True):
+            query = self.subscriber._build_query(needs_all_keys)
             response = sender.publisher.respond_to_catch_up(
-                b'%d%s' % (before, option)
+                peer_messages.build_query(query).encode()
             )
-            if self.subscriber._merge_catch_up(
-                before, response.body, 'publisher'
-            ):
+            if self.subscriber._merge_catch_up(response.body, 'publisher'):
                 break
 
     def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
@@ -108,11 +106,16 @@
 
 
 def heartbeat(
-    control: str, domain: str, revision: int, age_ms: int = 0, fleet: int = 3
+    control: str,
+    domain: str,
+    revision: int,
+    age_ms: int = 0,
+    fleet: int = 3,
+    era: int = 0,
 ) -> peer_messages.Announcement:
     """Build an announcement without changes."""
     return peer_messages.Announcement(
-        'vm', control, domain, revision, age_ms, fleet, fleet, revision
+        'vm', control, domain, revision, age_ms, fleet, fleet, revision, era=era
     )
 
 
@@ -156,9 +159,11 @@
         WatchEvent(f'servers/{randomness.random()}', b'here', index)
         for index in range(6, 206)
     )
-    sender.state.replica.merge_changes(5, Changes(events, 210))
+    sender.state.replica.merge_changes(
+        fixtures.at(5), Changes(events, fixtures.at(210))
+    )
     sender.publisher.announce_changes(
-        5, Changes(events, 210), is_from_peer=False
+        fixtures.at(5), Changes(events, fixtures.at(210)), is_from_peer=False
     )
     assert 1 < len(sender.sent) < 20
     for announcement in sender.sent:
@@ -166,7 +171,7 @@
         assert len(encoded) <= 1400
         receiver.subscriber.on_announcement(announcement)
     assert not receiver.subscriber._fetch_needed.is_set()
-    assert receiver.state.replica.revision == 210
+    assert receiver.state.replica.position.revision == 210
     assert len(receiver.state.registry.names) == 200
 
 
@@ -175,7 +180,9 @@
     sender.publisher.on_subscription(subscription(OTHER))
     upstreams = {f'servers_{index:03}': 'here' for index in range(300)}
     changes = sender.state.replica.merge_listing(listing(5, **upstreams))
-    sender.publisher.announce_changes(0, changes, is_from_peer=False)
+    sender.publisher.announce_changes(
+        fixtures.at(0), changes, is_from_peer=False
+    )
     assert [announcement.revision for announcement in sender.sent] == [5]
     assert sender.sent[0].items == []
     receiver = SubscriberHarness()
@@ -195,12 +202,10 @@
     response = sender.publisher.respond_to_catch_up(b'5')
     message = peer_messages.decode_catch_up(response.body, 'publisher')
     assert isinstance(message, peer_messages.Refresh)
-    assert not receiver.subscriber._merge_catch_up(
-        5, response.body, 'publisher'
-    )
+    assert not receiver.subscriber._merge_catch_up(response.body, 'publisher')
     receiver.catch_up(sender)
     assert set(receiver.state.registry.names) == {'a'}
-    assert receiver.state.replica.revision == 2106
+    assert receiver.state.replica.position.revision == 2106
 
 
 def test_a_subscriber_with_an_old_listing_fetches_only_newer_items() -> None:
@@ -211,12 +216,14 @@
         StoredValue(f'servers/{index:03}', b'here', 3) for index in range(299)
     ]
     newest = StoredValue('servers/new', b'here', 5)
-    sender.state.replica.merge_listing(Listing((*known, newest), 5))
-    receiver.state.replica.merge_listing(Listing(tuple(known), 4))
+    sender.state.replica.merge_listing(
+        Listing((*known, newest), fixtures.at(5))
+    )
+    receiver.state.replica.merge_listing(Listing(tuple(known), fixtures.at(4)))
     assert len(sender.publisher.respond_to_catch_up(b'4').body) < 200
     receiver.catch_up(sender)
     assert len(receiver.state.registry.names) == 300
-    assert receiver.state.replica.revision == 5
+    assert receiver.state.replica.position.revision == 5
 
 
 def test_changes_from_a_peer_are_not_sent_to_other_publishers() -> None:
@@ -227,7 +234,7 @@
     for is_from_peer, copies in ((False, 2), (True, 1)):
         sender.sent.clear()
         merged = change('servers/a', 'here', 6)
-        sender.publisher.announce_changes(5, merged, is_from_peer)
+        sender.publisher.announce_changes(fixtures.at(5), merged, is_from_peer)
         assert len(sender.sent) == copies, is_from_peer
 
 
@@ -253,7 +260,7 @@
     assert [item.key for item in message.items] == ['servers/b', 'servers/a']
     receiver.catch_up(sender)
     assert set(receiver.state.registry.names) == {'b', 'c'}
-    assert receiver.state.replica.revision == 8
+    assert receiver.state.replica.position.revision == 8
 
 
 def test_a_subscriber_without_a_revision_fetches_a_snapshot() -> None:
@@ -262,7 +269,7 @@
     sender.state.replica.merge_listing(listing(5, servers_a='here'))
     receiver.catch_up(sender)
     assert set(receiver.state.registry.names) == {'a'}
-    assert receiver.state.replica.revision == 5
+    assert receiver.state.replica.position.revision == 5
 
 
 def test_a_change_too_large_for_a_datagram_is_fetched() -> None:
--- a/packages/token/tests/replica_test.py
+++ b/packages/token/tests/replica_test.py
@@ -21,19 +21,23 @@
     state.replica.merge_listing(listing(10, op_config='3', servers_a='here'))
     state.replica.merge_listing(listing(9, op_config='2'))
     assert listed_names(state) == {'a'}
-    state.replica.merge_changes(5, change('servers/a', None, 8))
+    state.replica.merge_changes(fixtures.at(5), change('servers/a', None, 8))
     assert listed_names(state) == {'a'}
     assert state.routing.config.version == 3
-    assert state.replica.revision == 10
+    assert state.replica.position.revision == 10
 
 
 def test_changes_after_a_gap_are_refused() -> None:
     state = replica_harness()
     state.replica.merge_listing(listing(10))
-    refused = state.replica.merge_changes(11, change('servers/a', 'here', 12))
+    refused = state.replica.merge_changes(
+        fixtures.at(11), change('servers/a', 'here', 12)
+    )
     assert refused is None
-    assert state.replica.revision == 10
-    merged = state.replica.merge_changes(9, change('servers/a', 'here', 12))
+    assert state.replica.position.revision == 10
+    merged = state.replica.merge_changes(
+        fixtures.at(9), change('servers/a', 'here', 12)
+    )
     assert len(merged.events) == 1
     assert listed_names(state) == {'a'}
 
@@ -45,16 +49,18 @@
             StoredValue('servers/a', b'here', 3),
             StoredValue('servers/b', b'here draining', 7),
         ),
-        5,
+        fixtures.at(5),
     )
     state.replica.merge_listing(pages)
     events = (
         WatchEvent('servers/b', b'here', 6),
         WatchEvent('servers/b', b'here draining', 7),
     )
-    merged = state.replica.merge_changes(5, Changes(events, 7))
+    merged = state.replica.merge_changes(
+        fixtures.at(5), Changes(events, fixtures.at(7))
+    )
     assert merged.events == ()
-    assert state.replica.revision == 7
+    assert state.replica.position.revision == 7
     draining = {
         upstream.name: upstream.is_draining
         for upstream in state.registry.listed()
@@ -65,7 +71,7 @@
 def test_a_lower_version_is_never_applied() -> None:
     state = replica_harness()
     state.replica.merge_listing(listing(10, op_config='7'))
-    state.replica.merge_changes(10, change('op/config', '6', 11))
+    state.replica.merge_changes(fixtures.at(10), change('op/config', '6', 11))
     assert state.routing.config.version == 7
 
 
@@ -73,7 +79,9 @@
     state = replica_harness()
     state.replica.merge_listing(listing(1, op_evacuate_here='{}'))
     assert state.routing.evacuated == {'here'}
-    state.replica.merge_changes(1, change('op/evacuate/here', None, 2))
+    state.replica.merge_changes(
+        fixtures.at(1), change('op/evacuate/here', None, 2)
+    )
     assert state.routing.evacuated == frozenset()
 
 
@@ -87,7 +95,7 @@
     state.replica.merge_listing(listing(5, servers_c='here'))
     state.replica.confirm_newest(0)
     state.clock.now += 1
-    state.replica.merge_changes(5, change('servers/a', 'here', 6))
+    state.replica.merge_changes(fixtures.at(5), change('servers/a', 'here', 6))
     state.replica.confirm_newest(0)
     assert listed_names(state) == {'a', 'b', 'c'}
     state.clock.now += 1.1
@@ -114,7 +122,7 @@
     state.replica.merge_listing(listing(1, servers_a='here'))
     state.replica.confirm_newest(0)
     state.clock.now += 1
-    state.replica.merge_changes(1, change('servers/a', None, 2))
+    state.replica.merge_changes(fixtures.at(1), change('servers/a', None, 2))
     assert listed_names(state) == set()
 
 
@@ -122,7 +130,7 @@
     state = replica_harness()
     state.replica.merge_listing(listing(1, servers_a='here'))
     state.clock.now += 5
-    state.replica.merge_changes(1, change('servers/a', '', 2))
+    state.replica.merge_changes(fixtures.at(1), change('servers/a', '', 2))
     assert listed_names(state) == set()
 
 
@@ -152,9 +160,10 @@
                 for index, event in enumerate(events)
             ]
             state.replica.merge_changes(
-                before, Changes(tuple(events), revision)
+                fixtures.at(before),
+                Changes(tuple(events), fixtures.at(revision)),
             )
         version = state.routing.config.version
         assert version >= highest_version
-        assert version == state.replica.revision
+        assert version == state.replica.position.revision
         highest_version = version
--- a/packages/token/tests/store_reader_test.py
+++ b/packages/token/tests/store_reader_test.py
@@ -185,13 +185,17 @@
     harness.state.replica.merge_listing(fixtures.listing(5, op_config='1'))
     harness.store.changes = [fixtures.change('servers/b', 'here', 7)]
     await harness.run_for(2.2)
-    assert [changes.revision for changes in harness.confirmed_changes] == [7]
+    assert [
+        changes.position.revision for changes in harness.confirmed_changes
+    ] == [7]
 
 
 async def test_a_publisher_reads_until_an_earlier_one_is_up_to_date() -> None:
     harness = build_reader((FIRST, CONTROL, SECOND))
     harness.state.replica.merge_listing(fixtures.listing(5, op_config='1'))
-    harness.store.changes = list(itertools.repeat(Changes((), 5), 1000))
+    harness.store.changes = list(
+        itertools.repeat(Changes((), fixtures.at(5)), 1000)
+    )
     await harness.run_for(3)
     calls = len(harness.store.calls)
     assert calls > 50
@@ -202,3 +206,42 @@
     calls = len(harness.store.calls)
     await harness.run_for(0.5)
     assert len(harness.store.calls) <= calls + 1
+
+
+async def test_a_return_of_the_store_is_followed_by_a_listing() -> None:
+    harness = build_reader()
+    harness.store.stale_listing = fixtures.listing(
+        50, era=1, op_config='1', servers_a='here'
+    )
+    harness.store.listing = fixtures.listing(
+        40, era=2, op_config='1', servers_a='here', servers_b='here'
+    )
+    returned = fixtures.HistoryLostError('watch', 'store', 'era 2, watched 1')
+    harness.store.changes = [
+        returned,
+        fixtures.change('servers/c', 'here', 41, era=2),
+    ]
+    await harness.run_for(0.2)
+    assert harness.store.calls[:4] == [
+        'old list',
+        'watch 50',
+        'list',
+        'watch 40',
+    ]
+    assert set(harness.state.registry.names) == {'a', 'b', 'c'}
+    assert harness.counters.retries[RetryReason.PLATFORM_HISTORY] >= 1
+
+
+async def test_a_listing_of_an_earlier_era_is_a_failed_call() -> None:
+    harness = build_reader()
+    harness.state.replica.merge_listing(
+        fixtures.listing(5, era=3, op_config='1')
+    )
+    harness.store.listing = fixtures.listing(90, era=2, op_config='2')
+    await harness.run_for(1)
+    assert harness.state.routing.config.version == 1
+    assert not harness.confirmed_changes
+    assert round(harness.state.replica.age_s) == 1
+    assert harness.counters.retries[RetryReason.PLATFORM_UNAVAILABLE] >= 1
+    assert len(harness.store.calls) < 10
+    assert harness.state.replica.position.era == 3
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -7,6 +7,8 @@
 import struct
 import zlib
 
+import msgspec
+
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.ports import StoredValue, WatchEvent
 from hibiscushatch_token.environment import Environment
@@ -14,6 +16,7 @@
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.model import (
+    EntryVersion,
     Route,
     RoutingConfig,
     ServicePolicy,
@@ -27,6 +30,7 @@
     HistoryLostError,
     Listing,
     PacketCodec,
+    Position,
     Reset,
     Store,
 )
@@ -89,12 +93,18 @@
     """Items in a format that tests can write by hand.
 
     ``op/config`` holds a version, ``op/evacuate/DOMAIN`` any value, and
-    ``servers/NAME`` a failure domain, optionally followed by a state.
+    ``servers/NAME`` a failure domain, optionally followed by a state, and then
+    by the number of the entry and the incarnation.
     """
 
     def __init__(self) -> None:
         self.upstreams: dict[bytes, Upstream] = {}
 
+    @property
+    def config_key(self) -> str:
+        """Key of the configuration."""
+        return 'op/config'
+
     @property
     def registry_prefix(self) -> str:
         """Prefix of the keys under which upstreams are registered."""
@@ -127,7 +137,7 @@
 
     def __init__(self) -> None:
         self.is_store_reachable = True
-        self.listing = Listing((), 1)
+        self.listing = listing(1)
         self.stale_listing: Listing | None = None
         self.changes: list[Changes | Exception] = []
         self.calls: list[str] = []
@@ -140,10 +150,10 @@
             return self.stale_listing
         return self.listing
 
-    async def watch(self, revision: int, wait_s: float) -> Changes:
+    async def watch(self, after: Position, wait_s: float) -> Changes:
         """Return or raise the next prepared change, and record the call."""
         await asyncio.sleep(0.01)
-        self.calls.append(f'watch {revision}')
+        self.calls.append(f'watch {after.revision}')
         if not self.changes:
             raise HistoryLostError('watch', 'store', 'no more changes')
         change = self.changes.pop(0)
@@ -179,8 +189,17 @@
 def _read_upstream(name: str, value: bytes | None) -> Upstream | None:
     if not value:
         return None
-    domain, _, state = value.decode().partition(' ')
-    return upstream(name, domain, is_draining=state == 'draining')
+    words = value.decode().split()
+    domain, state, sequence, incarnation = (
+        words + ['', '0', '1'][len(words) - 1 :]
+    )
+    read = upstream(
+        name,
+        domain,
+        is_draining=state == 'draining',
+        incarnation=int(incarnation),
+    )
+    return restated(read, int(sequence))
 
 
 def upstream(
@@ -203,10 +222,16 @@
         slots,
         is_draining,
         cold_s,
-        incarnation,
+        EntryVersion(incarnation, 0),
     )
 
 
+def restated(stated: Upstream, sequence: int) -> Upstream:
+    """Return an upstream with another number of its entry."""
+    version = EntryVersion(stated.incarnation, sequence)
+    return msgspec.structs.replace(stated, version=version)
+
+
 def config(version: int, cold_flows_per_s: float = 0) -> RoutingConfig:
     """Build a configuration with one route, to the service ``booking``."""
     return RoutingConfig(
@@ -231,8 +256,6 @@
         'metrics': '127.0.0.1:4',
         'store': {'address': '127.0.0.1:5'},
     }
-    import msgspec  # noqa: PLC0415
-
     return msgspec.convert({**fields, **changes}, TokenNodeSettings)
 
 
@@ -326,9 +349,9 @@
 ) -> VmHarness:
     """Build the packet path of an entry VM with listed upstreams."""
     harness = VmHarness(clock or FakeClock(), fleet)
-    harness.routing.apply_config(config(1, cold_flows_per_s), 1)
+    harness.routing.apply_config(config(1, cold_flows_per_s), at(1))
     for listed in upstreams:
-        harness.registry.apply(listed.name, listed, 1)
+        harness.registry.apply(listed.name, listed, at(1))
     return harness
 
 
@@ -347,22 +370,32 @@
     clock = FakeClock()
     routing = Routing()
     registry = Registry(clock, 60, lambda _upstream: None)
-    replica = StoreReplica(FakeDocuments(), routing, registry, clock, 2, 2.5)
+    store_settings = settings(
+        store={'address': '127.0.0.1:5', 'lapse_grace_s': 2, 'outage_s': 2.5}
+    ).store
+    replica = StoreReplica(
+        FakeDocuments(), routing, registry, clock, store_settings, Counters()
+    )
     return ReplicaHarness(clock, routing, registry, replica)
 
 
-def listing(revision: int, **items: str) -> Listing:
+def at(revision: int, era: int = 0) -> Position:
+    """Build a position of the store."""
+    return Position(era, revision)
+
+
+def listing(revision: int, era: int = 0, **items: str) -> Listing:
     """Build a listing of items; ``_`` in a name stands for ``/`` in the key."""
     return Listing(
         tuple(
             StoredValue(key.replace('_', '/'), value.encode(), revision)
             for key, value in items.items()
         ),
-        revision,
+        at(revision, era),
     )
 
 
-def change(key: str, value: str | None, revision: int) -> Changes:
+def change(key: str, value: str | None, revision: int, era: int = 0) -> Changes:
     """Build a set of changes with one change; the value None deletes."""
     encoded = None if value is None else value.encode()
-    return Changes((WatchEvent(key, encoded, revision),), revision)
+    return Changes((WatchEvent(key, encoded, revision),), at(revision, era))
--- a/packages/tools/src/hibiscushatch_tools/capacity.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity.py
@@ -15,7 +15,7 @@
 from hibiscushatch_core.ports import WatchEvent
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.publisher import HEARTBEAT_S, Publisher
-from hibiscushatch_token.ports import Changes
+from hibiscushatch_token.ports import Changes, Position
 from hibiscushatch_token.settings import RelaySettings
 from hibiscushatch_tools import capacity_page
 from hibiscushatch_tools.capacity_fit import Point
@@ -307,7 +307,8 @@
             item = build_listing(1, revision).items[0]
             event = WatchEvent(item.key, item.value, revision)
             node.replica.merge_changes(
-                revision - 1, Changes((event,), revision)
+                Position(0, revision - 1),
+                Changes((event,), Position(0, revision)),
             )
 
     return _shortest_cpu_s(change) / 10 * US_PER_S
--- a/packages/tools/src/hibiscushatch_tools/capacity_node.py
+++ b/packages/tools/src/hibiscushatch_tools/capacity_node.py
@@ -16,6 +16,7 @@
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.model import (
     EMPTY_CONFIG,
+    EntryVersion,
     Route,
     RoutingConfig,
     ServicePolicy,
@@ -25,6 +26,7 @@
 from hibiscushatch_token.ports import (
     Documents,
     Listing,
+    Position,
 )
 from hibiscushatch_token.settings import StoreSettings, TokenNodeSettings
 from hibiscushatch_token.traffic.packet_path import PacketPath
@@ -42,6 +44,11 @@
 class PlainDocuments(Documents):
     """Reads upstreams from msgspec JSON; has no configuration to read."""
 
+    @property
+    def config_key(self) -> str:
+        """Key of the configuration."""
+        return 'config'
+
     @property
     def registry_prefix(self) -> str:
         """Key prefix of the entries of upstreams."""
@@ -91,14 +98,15 @@
         routing = path.known.routing
         route = Route((WeightedService(SERVICE, 1),), aim_s=1, timeout_s=2)
         policies = {SERVICE: ServicePolicy(0, 2000)}
-        routing.apply_config(RoutingConfig(1, {_ENDPOINT: route}, policies), 1)
+        config = RoutingConfig(1, {_ENDPOINT: route}, policies)
+        routing.apply_config(config, Position(0, 1))
         self.replica = StoreReplica(
             PlainDocuments(),
             routing,
             path.known.registry,
             environment.clock,
-            2,
-            2,
+            self.settings.store,
+            environment.counters,
         )
         self.replica.merge_listing(build_listing(upstreams, 1))
 
@@ -136,7 +144,7 @@
     """Build the listing of a store that holds a number of upstreams."""
     return Listing(
         tuple(_stored_upstream(index, revision) for index in range(upstreams)),
-        revision,
+        Position(0, revision),
     )
 
 
@@ -151,7 +159,7 @@
         slots=_SLOTS,
         is_draining=False,
         cold_s=0,
-        incarnation=revision,
+        version=EntryVersion(revision, 0),
     )
     encoded = msgspec.json.encode(upstream)
     return StoredValue(_REGISTRY_PREFIX + upstream.name, encoded, revision)
--- a/packages/tools/src/hibiscushatch_tools/load_player.py
+++ b/packages/tools/src/hibiscushatch_tools/load_player.py
@@ -20,12 +20,14 @@
 from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
 from hibiscushatch_token.model import (
     Endpoint,
+    EntryVersion,
     Route,
     RoutingConfig,
     ServicePolicy,
     Upstream,
     WeightedService,
 )
+from hibiscushatch_token.ports import Position
 from hibiscushatch_token.settings import TokenNodeSettings
 from hibiscushatch_token.traffic.packet_path import PacketPath
 from hibiscushatch_tools import plain_codec
@@ -56,6 +58,8 @@
 _ATTEMPTS_MAX = RETRIES_MAX + 1
 _GONE = 'gone'
 _NO_NAME = ''
+# The store has one state during a load.
+_POSITION = Position(0, 1)
 
 
 class SimulatedEntryVm:
@@ -157,9 +161,9 @@
                 settings, self._scheduler, len(domains), self._seed + index
             )
             known = vm.path.known
-            known.routing.apply_config(self._config, 1)
+            known.routing.apply_config(self._config, _POSITION)
             for upstream in self._upstreams:
-                known.registry.apply(upstream.name, upstream, 1)
+                known.registry.apply(upstream.name, upstream, _POSITION)
             self.vms.append(vm)
             self._reporters.append(
                 self._build_reporter(vm, settings, index == 0)
@@ -496,7 +500,7 @@
             load.slots,
             is_draining=False,
             cold_s=0,
-            incarnation=1,
+            version=EntryVersion(1, 0),
         )
 
 
