Release an outdated entry when its known statement is written again

An upstream that repeats its latest entry with the same number after a return of the store stayed listed as withheld until its time to lapse. A watch and a listing that contradict each other no longer alternate without a pause. rollback_test: 24 passed; store_reader_test: 13 passed.

--- a/packages/token/src/hibiscushatch_token/knowledge/registrations.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/registrations.py
@@ -194,7 +194,7 @@
         if withheld is None:
             return False
         latest = withheld.latest
-        is_newer = upstream.version > latest
+        is_newer = upstream.version > latest or self._is_known(upstream)
         # The time of day of an upstream's VM may have been set back between two
         # starts of its process.
         is_other_process = upstream.incarnation != latest.incarnation
@@ -217,12 +217,7 @@
             self._registry.apply(entry.name, upstream, position)
             counts.taken += 1
             return
-        known = self._registry.find(entry.name)
-        is_same = known is not None and (
-            upstream.version == latest
-            and upstream.is_draining == known.is_draining
-        )
-        if is_same:
+        if self._is_known(upstream):
             counts.unchanged += 1
             return
         self._withheld[entry.name] = _Withheld(entry, latest)
@@ -231,7 +226,7 @@
             'outdated entry not obeyed',
             extra={
                 'upstream': entry.name,
-                'listed': known is not None,
+                'listed': self._registry.find(entry.name) is not None,
                 'known_sequence': latest.sequence,
                 'sequence': upstream.version.sequence,
                 'era': position.era,
@@ -239,6 +234,14 @@
             },
         )
 
+    def _is_known(self, upstream: Upstream) -> bool:
+        """Return whether a statement is the known one of a listed upstream."""
+        known = self._registry.find(upstream.name)
+        return known is not None and (
+            upstream.version == known.version
+            and upstream.is_draining == known.is_draining
+        )
+
     def _release_withheld(self) -> None:
         withheld = self._withheld
         self._withheld = {}
--- a/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -78,6 +78,8 @@
         self._retry_delay_s = settings.retry_min_s
         self._is_store_lost = False
         self._has_history = True
+        # Whether the latest read was a listing that replaced lost history.
+        self._is_listing_latest = False
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -90,6 +92,9 @@
             except HistoryLostError as error:
                 self._has_history = False
                 self._record_failure(error, RetryReason.PLATFORM_HISTORY)
+                if self._is_listing_latest:
+                    # The watch and the listing contradict each other.
+                    await self._wait_before_retry()
             except PlatformError as error:
                 self._record_failure(error, RetryReason.PLATFORM_UNAVAILABLE)
                 await self._wait_before_retry()
@@ -103,6 +108,7 @@
                 before, self._settings.watch_wait_s
             )
             merged = self._replica.merge_changes(before, changes)
+            self._is_listing_latest = False
             self._on_read(before, merged, is_confirmed=True)
             if changes.events:
                 await asyncio.sleep(_BATCH_WAIT_S)
@@ -112,6 +118,7 @@
         merged = self._replica.merge_listing(listing)
         # A first listing without a configuration is from before the operators
         # wrote one; the next read is another listing.
+        self._is_listing_latest = not is_first
         self._has_history = not is_first or self._replica.has_config
         self._on_read(before, merged, is_confirmed=not is_first)
 
--- a/packages/token/tests/rollback_test.py
+++ b/packages/token/tests/rollback_test.py
@@ -86,6 +86,16 @@
     assert usable_names(state) == {'a'}
 
 
+def test_the_latest_statement_written_again_is_no_longer_withheld() -> None:
+    state = known_state(servers_a='here ready 6')
+    state.replica.merge_listing(listing(7, era=2, servers_a='here ready 5'))
+    assert list(state.replica.withheld) == ['a']
+    again = change('servers/a', 'here ready 6', 8, era=2)
+    state.replica.merge_changes(at(7, 2), again)
+    assert not list(state.replica.withheld)
+    assert usable_names(state) == {'a'}
+
+
 def test_a_late_write_of_an_older_statement_does_not_end_a_drain() -> None:
     state = known_state(servers_a='here draining 6')
     state.replica.merge_listing(listing(7, era=2, servers_a='here ready 5'))
--- a/packages/token/tests/store_reader_test.py
+++ b/packages/token/tests/store_reader_test.py
@@ -232,6 +232,22 @@
     assert harness.counters.retries[RetryReason.PLATFORM_HISTORY] >= 1
 
 
+async def test_listings_that_a_watch_contradicts_are_not_repeated_at_once() -> (
+    None
+):
+    harness = build_reader()
+    harness.state.replica.merge_listing(
+        fixtures.listing(5, era=1, op_config='1')
+    )
+    harness.store.listing = fixtures.listing(5, era=1, op_config='1')
+    returned = fixtures.HistoryLostError('watch', 'store', 'era 2, watched 1')
+    harness.store.changes = list(itertools.repeat(returned, 1000))
+    await harness.run_for(2)
+    # Delays are varied by half; without them there would be 100 listings.
+    shortest_delay_s = fixtures.settings().store.retry_min_s / 2
+    assert harness.store.calls.count('list') <= 2 / shortest_delay_s
+
+
 async def test_a_listing_of_an_earlier_era_is_a_failed_call() -> None:
     harness = build_reader()
     harness.state.replica.merge_listing(
