--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -68,6 +68,7 @@
             environment.counters,
             clock,
             admission.record_response,
+            admission.record_rejection,
         )
         self.placement = Placement(
             settings,
