--- a/packages/token/src/hibiscushatch_token/traffic/admission.py
+++ b/packages/token/src/hibiscushatch_token/traffic/admission.py
@@ -115,7 +115,9 @@
             1.0, limit.flows_max(slots / fleet_size, aim_s) * priority_factor
         )
         hard_max = soft_max * self._settings.sure_factor
-        if load < soft_max or (load < hard_max and not limit.is_overloaded(aim_s)):
+        if load < soft_max or (
+            load < hard_max and not limit.is_overloaded(aim_s)
+        ):
             self._record_admitted(service)
             return None
         refusal = Refusal(
