--- a/packages/token/src/hibiscushatch_token/health/request_watch.py
+++ b/packages/token/src/hibiscushatch_token/health/request_watch.py
@@ -58,7 +58,6 @@
         clock: Monotonic seconds.
         on_served: Called with the service and the response time of each
             request that was answered and did not end early.
-        on_rejected: Called with the service of each request that ended early.
     """
 
     def __init__(
@@ -67,13 +66,11 @@
         counters: Counters,
         clock: Callable[[], float],
         on_served: Callable[[str, float], None],
-        on_rejected: Callable[[str], None],
     ) -> None:
         self._response_times = response_times
         self._counters = counters
         self._clock = clock
         self._on_served = on_served
-        self._on_rejected = on_rejected
         self._waiting: dict[bytes, _Request] = {}
         self._failures: collections.Counter[str] = collections.Counter()
         self._checked_at = clock()
@@ -104,11 +101,8 @@
             for signal in _SIGNALS:
                 if signal.matches(times, baseline):
                     self._record_failure(request, signal)
-            service = request.upstream.service
-            if _EARLY_END.is_early(times, baseline):
-                self._on_rejected(service)
-            else:
-                self._on_served(service, times.waited_s)
+            if not _EARLY_END.is_early(times, baseline):
+                self._on_served(request.upstream.service, times.waited_s)
             self._response_times.record_response(request.upstream, times)
 
     def record_overdue(self) -> None:
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -111,16 +111,13 @@
         priority_step: Factor by which the limit is multiplied for each step
             of lower priority.
         delay_share: Flows beyond the limit are refused only if responses take
-            at least this share of the shortest latency target, or if upstreams
-            reject requests; see ``rejected_share``.
-        rejected_share: Flows beyond the limit are also refused if upstreams
-            reject at least this share of the requests, since their queues may
-            be full long before a wide latency target is missed.
+            at least this share of the shortest latency target, or
+            ``slow_factor`` times the baseline if that is less.
+        slow_factor: The factor of the baseline; see ``delay_share``.
         sure_factor: Flows beyond this multiple of the limit are refused
             however long responses take, since response times show an overload
             only after it has lasted as long as a response takes.
-        responses: Number of responses over which response times and the share
-            of rejected requests are averaged.
+        responses: Number of responses over which response times are averaged.
         rate_half_life_s: Half-life of the count of served requests, from
             which their rate is computed. A busy entry VM receives some
             responses in this time.
@@ -133,7 +130,7 @@
     flows_per_slot: _UpToHundred = 3.0
     priority_step: _Share = 0.7
     delay_share: _Share = 0.5
-    rejected_share: _UpToHundred = 0.2
+    slow_factor: _UpToHundred = 2.2
     sure_factor: _UpToHundred = 3.0
     responses: _UpToHundred = 16.0
     rate_half_life_s: _Seconds = 0.35
--- a/packages/token/src/hibiscushatch_token/traffic/admission.py
+++ b/packages/token/src/hibiscushatch_token/traffic/admission.py
@@ -115,9 +115,7 @@
             1.0, limit.flows_max(slots / fleet_size, aim_s) * priority_factor
         )
         hard_max = soft_max * self._settings.sure_factor
-        if load < soft_max or (
-            load < hard_max and not limit.is_overloaded(aim_s)
-        ):
+        if load < soft_max or (load < hard_max and not limit.is_slow(aim_s)):
             self._record_admitted(service)
             return None
         refusal = Refusal(
@@ -139,14 +137,6 @@
         is_overloaded = service in self._overloads
         self._limit_of(service).record_response(response_s, is_overloaded)
 
-    def record_rejection(self, service: str) -> None:
-        """Count a request that an upstream rejected.
-
-        Args:
-            service: The service of the request.
-        """
-        self._limit_of(service).record_rejection()
-
     def _open_flows(self, service: str, fleet_size: int) -> float:
         open_flows: float = self._flows.outstanding_of_service(service)
         for name, _ in self._outliers.active_ejections():
--- a/packages/token/src/hibiscushatch_token/traffic/concurrency_limit.py
+++ b/packages/token/src/hibiscushatch_token/traffic/concurrency_limit.py
@@ -5,8 +5,7 @@
 the number of flows beyond which new ones would take longer. Nothing has to be
 known of the upstreams: where they get slower, flows end less often and the
 limit falls. The measured rate lags behind a burst that has just begun, so
-admission also checks whether responses have become slow, or whether upstreams
-reject requests because their queues are full.
+admission also checks whether responses have become slow.
 
 A flow may take a multiple of the baseline, which is what a response takes
 without overload: longer queues keep no more slots busy, and upstreams reject
@@ -50,7 +49,6 @@
         self._response_s = 0.0
         self._baseline_s = 0.0
         self._responses = 0
-        self._rejected_share = 0.0
 
     @property
     def rate_per_s(self) -> float:
@@ -85,7 +83,6 @@
         self._recent_responses.add(self._clock())
         change = response_s - self._response_s
         self._response_s += change / self._settings.responses
-        self._rejected_share -= self._rejected_share / self._settings.responses
         self._responses += 1
         weight = 1 / _BASELINE_RESPONSES
         if self._responses <= _INITIAL_RESPONSES:
@@ -94,11 +91,6 @@
             weight *= _OVERLOAD_WEIGHT_FACTOR
         self._baseline_s += (response_s - self._baseline_s) * weight
 
-    def record_rejection(self) -> None:
-        """Count a request that an upstream rejected."""
-        missing = 1 - self._rejected_share
-        self._rejected_share += missing / self._settings.responses
-
     def flows_max(self, slots: float, aim_s: float) -> float:
         """Return how many flows may be open.
 
@@ -114,12 +106,13 @@
         )
         return max(1.0, slots * per_slot, self.rate_per_s * flow_s)
 
-    def is_overloaded(self, aim_s: float) -> bool:
-        """Return whether upstreams take as long as in an overload or reject.
+    def is_slow(self, aim_s: float) -> bool:
+        """Return whether responses take as long as in an overload.
 
         Args:
             aim_s: The shortest latency target of the service.
         """
-        settings = self._settings
-        is_late = self._response_s >= aim_s * settings.delay_share
-        return is_late or self._rejected_share >= settings.rejected_share
+        return self._response_s >= min(
+            aim_s * self._settings.delay_share,
+            self._baseline_s * self._settings.slow_factor,
+        )
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -68,7 +68,6 @@
             environment.counters,
             clock,
             admission.record_response,
-            admission.record_rejection,
         )
         self.placement = Placement(
             settings,
