Trial: let packets wait in the socket while the process is loaded

Cause: on a sixth of a core the imports take half a second, in which all packets are lost.

Change: settings and socket come before the other imports. What arrived meanwhile is handled in order, with the time that each packet has probably waited, so that flows that are late by it wait for free slots.

--- a/packages/core/src/hibiscushatch_core/udp_receiver.py
+++ b/packages/core/src/hibiscushatch_core/udp_receiver.py
@@ -9,12 +9,11 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from hibiscushatch_core.counters import Counters
 
 BATCH_DATAGRAMS_MAX = 64
-SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 # A packet has at most 9000 bytes. The rest is for the relay header and lets an
 # oversized packet be recognized.
 DATAGRAM_BYTES_MAX = 9256
@@ -24,30 +23,6 @@
 _log = logging.getLogger(__name__)
 
 
-def open_udp_socket(address: tuple[str, int]) -> socket.socket:
-    """Open and bind a non-blocking socket.
-
-    Args:
-        address: IPv4 address and port.
-
-    Returns:
-        The socket, with buffers as large as the system allows.
-
-    Raises:
-        OSError: If the address can't be bound.
-    """
-    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        udp_socket.bind(address)
-    except OSError:
-        udp_socket.close()
-        raise
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        udp_socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-    udp_socket.setblocking(False)
-    return udp_socket
-
-
 class UdpReceiver:
     """Reads a socket in batches and calls a handler for each datagram.
 
@@ -78,6 +53,17 @@
         """Stop reading; the socket stays open."""
         asyncio.get_running_loop().remove_reader(self._socket)
 
+    def take_waiting(self) -> Iterator[bytes]:
+        """Read and yield the datagrams that are waiting, without a handler."""
+        while True:
+            try:
+                yield self._socket.recv(DATAGRAM_BYTES_MAX)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._record_unexpected(error)
+                return
+
     def read_waiting(self) -> bool:
         """Read and handle a batch of waiting datagrams.
 
--- a/packages/node/src/hibiscushatch_node/daemon.py
+++ b/packages/node/src/hibiscushatch_node/daemon.py
@@ -15,7 +15,8 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.settings import NodeSettings
-from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_core.udp_receiver import UdpReceiver
+from hibiscushatch_core.udp_socket import open_udp_socket
 from hibiscushatch_node.adapters.admin_api import AdminApi
 from hibiscushatch_node.adapters.etcd import EtcdPlatform
 from hibiscushatch_node.adapters.peer_socket import WebSocketTransport
--- a/packages/node/tests/udp_test.py
+++ b/packages/node/tests/udp_test.py
@@ -5,7 +5,7 @@
 
 import adapter_fixtures
 
-from hibiscushatch_core import packets, udp_receiver
+from hibiscushatch_core import packets, udp_receiver, udp_socket
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.reasons import DropReason
 from hibiscushatch_node.adapters import udp
@@ -37,11 +37,11 @@
     counters = Counters()
     with (
         adapter_fixtures.captured_log('hibiscushatch_core') as records,
-        udp_receiver.open_udp_socket(_address()) as receiving_socket,
+        udp_socket.open_udp_socket(_address()) as receiving_socket,
     ):
         receiver = udp_receiver.UdpReceiver(receiving_socket, handler, counters)
         receiver.start()
-        with udp_receiver.open_udp_socket(_address()) as sending_socket:
+        with udp_socket.open_udp_socket(_address()) as sending_socket:
             for datagram in DATAGRAMS:
                 sending_socket.sendto(datagram, receiving_socket.getsockname())
                 received = await asyncio.wait_for(received_datagrams.get(), 5)
@@ -54,14 +54,14 @@
 @real_time
 async def test_truncated_datagrams_are_detected_as_oversized() -> None:
     received_datagrams: asyncio.Queue[bytes] = asyncio.Queue()
-    with udp_receiver.open_udp_socket(_address()) as receiving_socket:
+    with udp_socket.open_udp_socket(_address()) as receiving_socket:
         receiver = udp_receiver.UdpReceiver(
             receiving_socket,
             lambda datagram, _: received_datagrams.put_nowait(datagram),
             Counters(),
         )
         receiver.start()
-        with udp_receiver.open_udp_socket(_address()) as sending_socket:
+        with udp_socket.open_udp_socket(_address()) as sending_socket:
             sending_socket.sendto(
                 b'\x45' + bytes(20000), receiving_socket.getsockname()
             )
@@ -73,13 +73,13 @@
 @real_time
 async def test_a_batch_is_bounded_and_no_datagram_is_lost() -> None:
     sizes: list[int] = []
-    with udp_receiver.open_udp_socket(_address()) as receiving_socket:
+    with udp_socket.open_udp_socket(_address()) as receiving_socket:
         receiver = udp_receiver.UdpReceiver(
             receiving_socket,
             lambda datagram, _: sizes.append(len(datagram)),
             Counters(),
         )
-        with udp_receiver.open_udp_socket(_address()) as sending_socket:
+        with udp_socket.open_udp_socket(_address()) as sending_socket:
             for size in range(udp_receiver.BATCH_DATAGRAMS_MAX * 2 + 1):
                 sending_socket.sendto(
                     bytes(size), receiving_socket.getsockname()
@@ -104,8 +104,8 @@
     )
     with (
         target,
-        udp_receiver.open_udp_socket(settings.edge.pair) as edge,
-        udp_receiver.open_udp_socket(settings.relay.pair) as relay,
+        udp_socket.open_udp_socket(settings.edge.pair) as edge,
+        udp_socket.open_udp_socket(settings.relay.pair) as relay,
     ):
         sender = udp.UdpPacketSender(settings, edge, relay, Counters())
         sender.send_to_caller(b'caller')
--- a/packages/ops/src/hibiscushatch_ops/load_run.py
+++ b/packages/ops/src/hibiscushatch_ops/load_run.py
@@ -17,7 +17,8 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import HibiscushatchError
-from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_core.udp_receiver import UdpReceiver
+from hibiscushatch_core.udp_socket import open_udp_socket
 from hibiscushatch_ops.callers import (
     BROKEN_OUTCOMES,
     Callers,
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -10,8 +10,9 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import InvalidDocumentError
-from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_core.udp_receiver import UdpReceiver
 from hibiscushatch_token import http1, status
+from hibiscushatch_token.caller_socket import CallerSocket, estimate_waits
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.health.partition import PartitionDetector
 from hibiscushatch_token.knowledge.replication import Replication
@@ -43,6 +44,7 @@
 
     Args:
         settings: Settings of this entry VM.
+        caller_socket: The bound socket of callers' packets.
         codec: The packet format.
         store: The platform's store.
         documents: Decodes the items of the store.
@@ -53,6 +55,7 @@
     def __init__(
         self,
         settings: TokenNodeSettings,
+        caller_socket: CallerSocket,
         codec: PacketCodec,
         store: Store,
         documents: Documents,
@@ -70,12 +73,13 @@
             random.Random(settings.random_seed),  # noqa: S311
         )
         self._counters = environment.counters
-        caller_socket = open_udp_socket(socket_address(settings.packets))
+        self._caller_socket = caller_socket
+        udp_socket = caller_socket.udp_socket
         self._traffic = PacketPath(
-            settings, environment, caller_socket.sendto, self._count_fleet
+            settings, environment, udp_socket.sendto, self._count_fleet
         )
         self._receiver = UdpReceiver(
-            caller_socket, self._traffic.forwarder.handle, self._counters
+            udp_socket, self._traffic.forwarder.handle, self._counters
         )
         self._replication = Replication(
             settings,
@@ -169,6 +173,7 @@
     async def _start_forwarding(self) -> None:
         while not self._has_config():
             await asyncio.sleep(_POLL_INTERVAL_S)
+        self._handle_early_packets()
         self._receiver.start()
         self._is_ready = True
         _log.info(
@@ -181,6 +186,20 @@
         )
         await self._start_operator_server()
 
+    def _handle_early_packets(self) -> None:
+        """Handle the packets that came before the entry VM was ready."""
+        waited_max_s = time.monotonic() - self._caller_socket.bound_at
+        datagrams = list(self._receiver.take_waiting())
+        for datagram, waited_s in estimate_waits(datagrams, waited_max_s):
+            self._traffic.forwarder.handle_waited(datagram, waited_s)
+        _log.info(
+            'early packets handled',
+            extra={
+                'packets': len(datagrams),
+                'waited_max_s': round(waited_max_s, 3),
+            },
+        )
+
     async def _start_operator_server(self) -> None:
         try:
             await self._operator_server.start()
--- a/packages/token/src/hibiscushatch_token/knowledge/replication.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -1,6 +1,7 @@
 """Connects the parts that keep the replica of the store up to date."""
 
-from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_core.udp_receiver import UdpReceiver
+from hibiscushatch_core.udp_socket import open_udp_socket
 from hibiscushatch_token import http1
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
--- a/packages/token/src/hibiscushatch_token/traffic/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/traffic/forwarder.py
@@ -57,11 +57,22 @@
 
     def handle(self, datagram: bytes, _sender: str) -> None:
         """Forward one datagram, answer it with a reset, or drop it."""
+        self.handle_waited(datagram, 0)
+
+    def handle_waited(self, datagram: bytes, waited_s: float) -> None:
+        """Handle a datagram that has waited in the socket.
+
+        Args:
+            datagram: The datagram.
+            waited_s: How long it has waited.
+        """
         self._counters.packets_in += 1
         packet = self._codec.parse(datagram)
         if packet is None:
             self._counters.drops[DropReason.TRUNCATED] += 1
-        elif packet.is_opening:
+            return
+        packet.waited_s += waited_s
+        if packet.is_opening:
             self._opener.open(packet)
         else:
             self._forward_by_token(packet)
--- a/packages/tools/src/hibiscushatch_tools/process_network.py
+++ b/packages/tools/src/hibiscushatch_tools/process_network.py
@@ -13,7 +13,8 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.manifest_document import TUNNEL_PORT_DEFAULT
 from hibiscushatch_core.settings import NodeSettings
-from hibiscushatch_core.udp_receiver import UdpReceiver, open_udp_socket
+from hibiscushatch_core.udp_receiver import UdpReceiver
+from hibiscushatch_core.udp_socket import open_udp_socket
 from hibiscushatch_ops.callers import Callers
 from hibiscushatch_tools.admin_client import AdminClient
 from hibiscushatch_tools.payload_ledger import PayloadLedger
--- a/packages/tools/tests/daemon_process_test.py
+++ b/packages/tools/tests/daemon_process_test.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import AsyncIterator
 
-from hibiscushatch_core import udp_receiver
+from hibiscushatch_core import udp_socket
 from hibiscushatch_core.settings import NodeSettings
 from hibiscushatch_node import main as node_main
 from hibiscushatch_tools import demo_plan, entry_processes, loopback_net
@@ -93,8 +93,8 @@
         loopback_net.net_of_process(), demo_plan.DOMAINS, 4
     )
     addresses = (
-        (udp_receiver.open_udp_socket, fleet[0].edge),
-        (udp_receiver.open_udp_socket, fleet[1].relay),
+        (udp_socket.open_udp_socket, fleet[0].edge),
+        (udp_socket.open_udp_socket, fleet[1].relay),
         (socket.create_server, fleet[2].control),
         (socket.create_server, fleet[3].admin),
     )
--- a/packages/tools/tests/load_run_test.py
+++ b/packages/tools/tests/load_run_test.py
@@ -7,7 +7,7 @@
 import standins_fixtures
 from click.testing import CliRunner
 
-from hibiscushatch_core import udp_receiver
+from hibiscushatch_core import udp_receiver, udp_socket
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.packets import TCP
 from hibiscushatch_ops import load_run
@@ -43,7 +43,7 @@
 
 @contextlib.contextmanager
 def _upstream_at_edge() -> Iterator[None]:
-    with udp_receiver.open_udp_socket(EDGE) as edge:
+    with udp_socket.open_udp_socket(EDGE) as edge:
         standin = UpstreamStandIn(
             standins_fixtures.UPSTREAM,
             PayloadLedger(),
