Trial: count each signal of failing upstreams apart

Change: counts and baselines by signal; reports carry how many of the failures ended early, 0 from a sender that does not tell.

--- a/packages/token/src/hibiscushatch_token/health/outlier_detector.py
+++ b/packages/token/src/hibiscushatch_token/health/outlier_detector.py
@@ -9,16 +9,20 @@
 A failure signal alone proves little: the requests of a service differ, and an
 overloaded service is late on all upstreams. So an upstream is ejected when its
 failures exceed a multiple of the baseline of its service by several failures.
+Each signal has a count and a baseline of its own: a service that is busy has
+overdue requests everywhere, but none that end early, as errors do.
 Placement then avoids it as long as the other upstreams have spare capacity.
 Each ejection ends by itself; repeated ejections last longer.
 """
 
 import logging
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import msgspec
 
 from hibiscushatch_core.decaying_count import DecayingCount
+from hibiscushatch_core.reasons import FailureSignal
+from hibiscushatch_token.health.request_signals import Failure
 from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.settings import OutlierSettings
@@ -63,7 +67,7 @@
         self._settings = settings
         self._known = known
         self._clock = clock
-        self._failures: dict[str, DecayingCount] = {}
+        self._failures: dict[Failure, DecayingCount] = {}
         self._ejections: dict[str, Ejection] = {}
 
     @property
@@ -83,31 +87,27 @@
             if now < ejection.ends_at:
                 yield name, ejection.ends_at - now
 
-    def record_failures(self, failures: Mapping[str, int]) -> bool:
+    def record_failures(self, failures: Mapping[Failure, int]) -> bool:
         """Count failed requests, and eject the upstreams that are outliers.
 
         Args:
-            failures: Failures by name of the upstream.
+            failures: Number of failures of each kind.
 
         Returns:
             Whether an upstream was ejected.
         """
         now = self._clock()
-        known_failures = [
-            (upstream, failures[upstream.name])
-            for upstream in map(self._known.registry.find, failures)
-            if upstream is not None
-        ]
-        for upstream, added in known_failures:
-            count = self._failures.get(upstream.name)
+        known = list(self._find_upstreams(failures))
+        for failure, _ in known:
+            count = self._failures.get(failure)
             if count is None:
                 count = DecayingCount(self._settings.half_life_s)
-                self._failures[upstream.name] = count
-            count.add(now, added)
+                self._failures[failure] = count
+            count.add(now, failures[failure])
         ejected = [
-            candidate
-            for candidate, _ in known_failures
-            if self._eject_outlier(candidate, now)
+            upstream
+            for kind, upstream in known
+            if self._eject_outlier(upstream, kind, now)
         ]
         return bool(ejected)
 
@@ -136,15 +136,16 @@
 
     def forget(self, upstream: Upstream) -> None:
         """Drop the state of an upstream that was removed or restarted."""
-        self._failures.pop(upstream.name, None)
+        for signal in FailureSignal:
+            self._failures.pop(Failure(upstream.name, signal), None)
         self._ejections.pop(upstream.name, None)
 
     def expire(self) -> None:
         """Drop negligible counts, and ejections that ended long ago."""
         now = self._clock()
         self._failures = {
-            name: count
-            for name, count in self._failures.items()
+            failure: count
+            for failure, count in self._failures.items()
             if count.value_at(now) > _COUNT_NEGLIGIBLE
         }
         memory_s = self._settings.ejection_memory_s
@@ -154,8 +155,18 @@
             if now < ejection.ends_at + memory_s
         }
 
-    def _eject_outlier(self, upstream: Upstream, now: float) -> bool:
-        failures = self._failures[upstream.name].value_at(now)
+    def _find_upstreams(
+        self, failures: Iterable[Failure]
+    ) -> Iterator[tuple[Failure, Upstream]]:
+        for failure in failures:
+            upstream = self._known.registry.find(failure.upstream)
+            if upstream is not None:
+                yield failure, upstream
+
+    def _eject_outlier(
+        self, upstream: Upstream, failure: Failure, now: float
+    ) -> bool:
+        failures = self._failures[failure].value_at(now)
         threshold = self._failures_min(upstream.name, now)
         if failures < threshold or self.is_ejected(upstream.name):
             return False
@@ -165,12 +176,12 @@
             for other in self._known.registry.of_service(upstream.service)
             if not other.is_draining and other.domain not in evacuated
         ]
-        baseline = self._baseline_failures(eligible, now)
+        baseline = self._baseline_failures(eligible, failure.signal, now)
         if failures < threshold + baseline * self._settings.failures_ratio:
             return False
         if not self._may_eject(upstream, eligible):
             return False
-        self._eject(upstream, failures, baseline, now)
+        self._eject(upstream, failure, failures, baseline, now)
         return True
 
     def _failures_min(self, name: str, now: float) -> float:
@@ -182,12 +193,13 @@
             return 1
         return self._settings.failures_min
 
-    def _baseline_failures(self, eligible: list[Upstream], now: float) -> float:
+    def _baseline_failures(
+        self, eligible: list[Upstream], signal: FailureSignal, now: float
+    ) -> float:
+        kinds = (Failure(upstream.name, signal) for upstream in eligible)
         counts = sorted(
-            self._failures[upstream.name].value_at(now)
-            if upstream.name in self._failures
-            else 0
-            for upstream in eligible
+            self._failures[kind].value_at(now) if kind in self._failures else 0
+            for kind in kinds
         )
         fewest = counts[: int(len(counts) * _BASELINE_SHARE)]
         return sum(fewest) / len(fewest) if fewest else 0
@@ -209,7 +221,12 @@
         return len(ejected_in_domain) + 1 <= max_in_domain
 
     def _eject(
-        self, upstream: Upstream, failures: float, baseline: float, now: float
+        self,
+        upstream: Upstream,
+        failure: Failure,
+        failures: float,
+        baseline: float,
+        now: float,
     ) -> None:
         settings = self._settings
         duration_s = settings.ejection_min_s
@@ -224,6 +241,7 @@
                 'upstream': upstream.name,
                 'service': upstream.service,
                 'domain': upstream.domain,
+                'signal': failure.signal.value,
                 'failures': round(failures, 2),
                 'usual_failures': round(baseline, 2),
                 'ejected_s': duration_s,
--- a/packages/token/src/hibiscushatch_token/health/request_signals.py
+++ b/packages/token/src/hibiscushatch_token/health/request_signals.py
@@ -13,6 +13,18 @@
 from hibiscushatch_core.reasons import FailureSignal
 
 
+class Failure(msgspec.Struct, frozen=True):
+    """A kind of failure of an upstream, by which failures are counted.
+
+    Attributes:
+        upstream: Name of the upstream.
+        signal: The signal that showed it.
+    """
+
+    upstream: str
+    signal: FailureSignal
+
+
 class RequestTimes(msgspec.Struct, frozen=True):
     """The times of one request.
 
--- a/packages/token/src/hibiscushatch_token/health/request_watch.py
+++ b/packages/token/src/hibiscushatch_token/health/request_watch.py
@@ -12,6 +12,7 @@
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_token.health.request_signals import (
     EarlyEndSignal,
+    Failure,
     OverdueSignal,
     RequestSignal,
     RequestTimes,
@@ -72,7 +73,7 @@
         self._clock = clock
         self._on_served = on_served
         self._waiting: dict[bytes, _Request] = {}
-        self._failures: collections.Counter[str] = collections.Counter()
+        self._failures: collections.Counter[Failure] = collections.Counter()
         self._checked_at = clock()
 
     def observe_packet(
@@ -124,8 +125,8 @@
         for flow in abandoned:
             del self._waiting[flow]
 
-    def take_failures(self) -> collections.Counter[str]:
-        """Return the failures since the last call, by upstream."""
+    def take_failures(self) -> collections.Counter[Failure]:
+        """Return the failures since the last call."""
         failures = self._failures
         if failures:
             self._failures = collections.Counter()
@@ -141,5 +142,5 @@
     def _record_failure(self, request: _Request, signal: RequestSignal) -> None:
         if not request.is_failed:
             request.is_failed = True
-            self._failures[request.upstream.name] += 1
+            self._failures[Failure(request.upstream.name, signal.name)] += 1
             self._counters.failure_signals[signal.name] += 1
--- a/packages/token/src/hibiscushatch_token/knowledge/failure_reporter.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/failure_reporter.py
@@ -7,9 +7,11 @@
 """
 
 import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
+from hibiscushatch_core.reasons import FailureSignal
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
+from hibiscushatch_token.health.request_signals import Failure
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.publisher import SendDatagram
 from hibiscushatch_token.settings import TokenNodeSettings, socket_address
@@ -49,14 +51,14 @@
         self._send = send
         self._list_followed = list_followed
         self._on_ejection = on_ejection
-        self._unsent: collections.Counter[str] = collections.Counter()
+        self._unsent: collections.Counter[Failure] = collections.Counter()
         self._sent_at = clock()
 
-    def record_failures(self, failures: Mapping[str, int]) -> None:
+    def record_failures(self, failures: Mapping[Failure, int]) -> None:
         """Count failures that this entry VM observed; send a report if due.
 
         Args:
-            failures: Number of failures by name of the upstream; may be empty.
+            failures: Number of failures of each kind; may be empty.
         """
         if failures:
             self._count_failures(failures)
@@ -66,23 +68,18 @@
 
     def on_report(self, message: peer_messages.FailureReport) -> None:
         """Count failures that another entry VM reported."""
-        failures = {count.upstream: count.failures for count in message.counts}
+        failures = dict(_decode_counts(message.counts))
         self._count_failures(failures)
         if message.control not in self._settings.publishers:
             self._unsent.update(failures)
 
-    def _count_failures(self, failures: Mapping[str, int]) -> None:
+    def _count_failures(self, failures: Mapping[Failure, int]) -> None:
         if self._detector.record_failures(failures):
             self._on_ejection()
 
     def _send_report(self) -> None:
         settings = self._settings
-        counts = [
-            peer_messages.FailureCount(name, failures)
-            for name, failures in self._unsent.most_common(
-                _REPORTED_UPSTREAMS_MAX
-            )
-        ]
+        counts = _encode_counts(self._unsent)
         self._unsent.clear()
         self._sent_at = self._clock()
         report = peer_messages.encode(
@@ -92,3 +89,32 @@
         targets = followed if settings.is_publisher else followed[:1]
         for target in targets:
             self._send(report, socket_address(target))
+
+
+def _encode_counts(
+    failures: Mapping[Failure, int],
+) -> list[peer_messages.FailureCount]:
+    """Add up the failures of each upstream; leave out those with the fewest."""
+    totals: collections.Counter[str] = collections.Counter()
+    for failure, count in failures.items():
+        totals[failure.upstream] += count
+    return [
+        peer_messages.FailureCount(
+            name,
+            total,
+            failures.get(Failure(name, FailureSignal.EARLY_END), 0),
+        )
+        for name, total in totals.most_common(_REPORTED_UPSTREAMS_MAX)
+    ]
+
+
+def _decode_counts(
+    counts: Iterable[peer_messages.FailureCount],
+) -> Iterator[tuple[Failure, int]]:
+    for count in counts:
+        overdue = count.failures - count.early_ends
+        if overdue > 0:
+            yield Failure(count.upstream, FailureSignal.OVERDUE), overdue
+        if count.early_ends:
+            early_end = Failure(count.upstream, FailureSignal.EARLY_END)
+            yield early_end, count.early_ends
--- a/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
@@ -90,10 +90,18 @@
 
 
 class FailureCount(msgspec.Struct, frozen=True, array_like=True):
-    """An upstream and how many of its requests failed."""
+    """An upstream and how many of its requests failed.
+
+    Attributes:
+        upstream: Name of the upstream.
+        failures: Number of its requests that failed.
+        early_ends: How many of them ended early; a sender that does not tell
+            signals apart reports none.
+    """
 
     upstream: str
     failures: Annotated[int, msgspec.Meta(ge=1, le=_FAILURES_MAX)]
+    early_ends: Annotated[int, msgspec.Meta(ge=0, le=_FAILURES_MAX)] = 0
 
 
 class FailureReport(msgspec.Struct, frozen=True, tag='failure_report'):
--- a/packages/token/tests/request_signals_test.py
+++ b/packages/token/tests/request_signals_test.py
@@ -7,6 +7,7 @@
 from hibiscushatch_core.reasons import FailureSignal
 from hibiscushatch_token.health.request_signals import (
     EarlyEndSignal,
+    Failure,
     OverdueSignal,
     RequestTimes,
     ServiceBaseline,
@@ -91,7 +92,9 @@
         entry_vm.clock.now += 0.1
         entry_vm.request_watch.record_overdue()
     entry_vm.send('late', token, LAST)
-    assert entry_vm.request_watch.take_failures() == {chosen: 1}
+    assert entry_vm.request_watch.take_failures() == {
+        Failure(chosen, FailureSignal.OVERDUE): 1
+    }
     assert entry_vm.request_watch.take_failures() == {}
     assert entry_vm.counters.failure_signals == {FailureSignal.OVERDUE: 1}
 
