--- a/packages/token/src/hibiscushatch_token/caller_socket.py
+++ b/packages/token/src/hibiscushatch_token/caller_socket.py
@@ -1,9 +1,8 @@
-"""Binds the socket of callers' packets, before most of the process is loaded.
+"""The socket of callers' packets, which is bound before the entry VM is ready.
 
 On a fraction of a core, the imports of a process take half a second. Packets
 that arrive in this time wait in the socket instead of being lost, which saves
-their callers from having to repeat them. This module imports little for that
-reason.
+their callers from having to repeat them.
 
 A packet does not show how long it waited in the socket. Packets arrive at a
 steady rate, so their rank among those that are read first tells.
