Confirm nothing by an answer from before a known era

A watch or listing that was under way when a peer told of a later era confirmed the replica as up to date.

--- a/packages/token/src/hibiscushatch_token/knowledge/evacuations.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/evacuations.py
@@ -66,6 +66,11 @@
         """Evacuated domains for which the store has no item."""
         return self._kept
 
+    @property
+    def kept_s(self) -> float:
+        """How much longer they are kept."""
+        return max(0.0, self._kept_until - self._clock())
+
     @property
     def is_reconciling(self) -> bool:
         """Whether operators may still have to write evacuations again."""
@@ -106,18 +111,18 @@
         self._stored = stored
         self._apply(position)
 
-    def keep(self, domains: Iterable[str], position: Position) -> None:
+    def keep(
+        self, domains: Iterable[str], duration_s: float, position: Position
+    ) -> None:
         """Keep evacuations in force that another entry VM knew of.
 
         Args:
             domains: Evacuated domains that the store's copy lacks.
+            duration_s: How much longer the other entry VM keeps them.
             position: Position of the store.
         """
         self._kept.update(domains)
-        self._kept_until = max(
-            self._kept_until,
-            self._clock() + self._settings.operator_rewrite_s,
-        )
+        self._kept_until = max(self._kept_until, self._clock() + duration_s)
         self._apply(position)
 
     def expire(self) -> None:
--- a/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/peer_messages.py
@@ -188,11 +188,13 @@
         items: The configuration, and entries of listed upstreams that the copy
             lacks or has older.
         evacuated: Evacuated failure domains that the copy lacks.
+        evacuated_ms: How much longer they stay in force.
         removed: Upstreams that left recently.
     """
 
     items: list[Item]
     evacuated: list[str]
+    evacuated_ms: int
     removed: list[RemovedUpstream]
 
 
@@ -350,6 +352,7 @@
     return Earlier(
         items_from_stored(earlier.items, 0),
         sorted(earlier.evacuated),
+        int(earlier.evacuated_s * MS_PER_S),
         list(itertools.starmap(RemovedUpstream, earlier.removed.items())),
     )
 
@@ -363,6 +366,7 @@
             if item.value is not None
         ),
         frozenset(message.evacuated),
+        message.evacuated_ms / MS_PER_S,
         {entry.upstream: entry.version for entry in message.removed},
     )
 
--- a/packages/token/src/hibiscushatch_token/knowledge/replica.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replica.py
@@ -47,11 +47,14 @@
         items: The configuration in force, and the entries of listed upstreams
             that the copy lacks or has older.
         evacuated: Evacuated failure domains that the copy lacks.
+        evacuated_s: How much longer they stay in force unless they are
+            requested again.
         removed: Latest statements of upstreams that left, by name.
     """
 
     items: tuple[StoredValue, ...]
     evacuated: frozenset[str]
+    evacuated_s: float
     removed: dict[str, EntryVersion]
 
 
@@ -137,6 +140,7 @@
         return EarlierState(
             tuple(filter(None, candidates)),
             frozenset(self._evacuations.kept),
+            self._evacuations.kept_s,
             self._registry.removed(),
         )
 
@@ -160,7 +164,9 @@
                 self._registry.apply(name, None, self._position)
                 self._registry.record_removal(name, version)
         self._reconcile_registrations()
-        self._evacuations.keep(earlier.evacuated, self._position)
+        self._evacuations.keep(
+            earlier.evacuated, earlier.evacuated_s, self._position
+        )
 
     def merge_listing(self, listing: Listing) -> Changes:
         """Apply a complete listing unless it is older than the replica.
--- a/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -29,7 +29,6 @@
 from hibiscushatch_token.ports import (
     Changes,
     HistoryLostError,
-    Listing,
     Position,
     Store,
 )
@@ -107,6 +106,7 @@
             changes = await self._store.watch(
                 before, self._settings.watch_wait_s
             )
+            self._check_era(changes.position)
             merged = self._replica.merge_changes(before, changes)
             self._is_listing_latest = False
             self._on_read(before, merged, is_confirmed=True)
@@ -114,7 +114,7 @@
                 await asyncio.sleep(_BATCH_WAIT_S)
             return
         listing = await self._store.read_all(allow_stale=is_first)
-        self._check_era(listing)
+        self._check_era(listing.position)
         merged = self._replica.merge_listing(listing)
         # A first listing without a configuration is from before the operators
         # wrote one; the next read is another listing.
@@ -122,13 +122,14 @@
         self._has_history = not is_first or self._replica.has_config
         self._on_read(before, merged, is_confirmed=not is_first)
 
-    def _check_era(self, listing: Listing) -> None:
+    def _check_era(self, position: Position) -> None:
+        # A peer may have told of a later era during the call.
         known = self._replica.position.era
-        if listing.position.era < known:
+        if position.era < known:
             raise PlatformUnavailableError(
-                'listing',
+                'reading',
                 self._settings.address,
-                f'era {listing.position.era}, known is {known}',
+                f'era {position.era}, known is {known}',
             )
 
     def _on_read(
--- a/packages/token/tests/rollback_test.py
+++ b/packages/token/tests/rollback_test.py
@@ -313,6 +313,18 @@
     assert not receiver.subscriber._fetch_needed.is_set()
 
 
+def test_an_evacuation_learnt_from_a_publisher_ends_when_it_ends_there() -> (
+    None
+):
+    sender = publisher_after_rollback()
+    receiver = SubscriberHarness()
+    advance(sender.state, OPERATOR_REWRITE_S - 1)
+    receiver.catch_up(sender)
+    assert receiver.state.routing.evacuated == {'there'}
+    advance(receiver.state, 1)
+    assert receiver.state.routing.evacuated == frozenset()
+
+
 def test_a_rollback_is_announced_by_a_heartbeat_and_then_fetched() -> None:
     sender = PublisherHarness()
     sender.state.replica.merge_listing(listing(9, era=1, servers_a='here'))
--- a/packages/token/tests/store_reader_test.py
+++ b/packages/token/tests/store_reader_test.py
@@ -261,3 +261,26 @@
     assert harness.counters.retries[RetryReason.PLATFORM_UNAVAILABLE] >= 1
     assert len(harness.store.calls) < 10
     assert harness.state.replica.position.era == 3
+
+
+async def test_an_answer_from_before_an_era_that_a_peer_told_is_not_fresh() -> (
+    None
+):
+    harness = build_reader()
+    replica = harness.state.replica
+    replica.merge_listing(fixtures.listing(5, era=1, op_config='1'))
+    watch = harness.store.watch
+
+    async def watch_while_a_peer_tells(*arguments: object) -> Changes:
+        replica.merge_listing(fixtures.listing(4, era=2, op_config='1'))
+        return await watch(*arguments)
+
+    harness.store.watch = watch_while_a_peer_tells
+    harness.store.changes = [
+        fixtures.change('servers/b', 'here', 6, era=1),
+        *itertools.repeat(DOWN, 100),
+    ]
+    await harness.run_for(1)
+    assert replica.position == fixtures.at(4, era=2)
+    assert not harness.confirmed_changes
+    assert round(replica.age_s) == 1
