--- a/packages/token/src/hibiscushatch_token/health/request_signals.py
+++ b/packages/token/src/hibiscushatch_token/health/request_signals.py
@@ -118,7 +118,7 @@
     _BASELINE_FACTOR = 0.15
     # Below this, the jitter of this process hides the difference.
     _BASELINE_WORK_MIN_S = 0.02
-    _EARLY_SHARE_MAX = 0.1
+    _EARLY_SHARE_MAX = 0.25
 
     @property
     def name(self) -> FailureSignal:
