Keep errors a signal where half of a domain's upstreams fail

Cause: early ends were no signal once more than a tenth of a service's requests ended early. An entry VM places its flows in its own domain; where nine of twenty upstreams there fail half of their requests, more than a fifth end early, and errors were not noticed for as long as they lasted.

The test's new row fails with a tenth.

--- a/packages/token/src/hibiscushatch_token/health/request_signals.py
+++ b/packages/token/src/hibiscushatch_token/health/request_signals.py
@@ -118,6 +118,8 @@
     _BASELINE_FACTOR = 0.15
     # Below this, the jitter of this process hides the difference.
     _BASELINE_WORK_MIN_S = 0.02
+    # An entry VM places most flows in its own failure domain. Where half of the
+    # upstreams there fail half of their requests, a quarter ends early.
     _EARLY_SHARE_MAX = 0.25
 
     @property
--- a/packages/token/tests/request_signals_test.py
+++ b/packages/token/tests/request_signals_test.py
@@ -62,6 +62,12 @@
             ServiceBaseline(0.05, 0.04, 0.3),
             (),
         ),
+        (
+            'errors of half of the upstreams of a domain',
+            request_times(0.001),
+            ServiceBaseline(0.05, 0.04, 0.2),
+            (early,),
+        ),
         ('short work', request_times(0), ServiceBaseline(0.015, 0.005), ()),
         (
             'late, below the floor',
