--- a/packages/token/src/hibiscushatch_token/knowledge/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -266,7 +266,8 @@
         position = self._replica.position
         is_same_era = query.after.era == position.era
         after = query.after.revision if is_same_era else 0
-        if query.needs_earlier_state or not after:
+        has_earlier_state = self._replica.is_reconciling
+        if not after or (query.needs_earlier_state and has_earlier_state):
             return self._build_snapshot(0)
         has_changes = self._change_log and self._change_log_after <= query.after
         if has_changes:
--- a/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/subscriber.py
@@ -96,7 +96,9 @@
         self._announced_fleet = 0
         self._fetch_needed = asyncio.Event()
         self._fetch_address = ''
-        # The era for which a peer has sent what was in force before it.
+        # The latest era for which a peer has announced that it knows what was
+        # in force before, and the latest for which a peer has sent that.
+        self._reconciling_era = 0
         self._earlier_state_era = 0
         self._started_at = clock()
         self._is_confirmed_by_peer = False
@@ -168,8 +170,10 @@
             return
         self._is_confirmed_by_peer = True
         age_s = message.age_ms / peer_messages.MS_PER_S
-        if self._needs_earlier_state(message):
-            self._request_fetch(message.control)
+        if message.is_reconciling:
+            self._reconciling_era = max(self._reconciling_era, message.era)
+            if self._needs_earlier_state():
+                self._request_fetch(message.control)
         if message.position == before:
             was_current = self._is_current
             self._replica.confirm_newest(age_s)
@@ -207,8 +211,8 @@
     def _is_current(self) -> bool:
         return self._replica.age_s <= self._settings.store.fresh_s
 
-    def _needs_earlier_state(self, message: peer_messages.Announcement) -> bool:
-        return message.is_reconciling and message.era > self._earlier_state_era
+    def _needs_earlier_state(self) -> bool:
+        return self._reconciling_era > self._earlier_state_era
 
     def _request_fetch(self, control: str) -> None:
         self._fetch_address = control
@@ -344,11 +348,8 @@
             connection.close()
 
     def _build_query(self, needs_all_keys: bool) -> peer_messages.CatchUpQuery:
-        position = self._replica.position
         return peer_messages.CatchUpQuery(
-            position,
-            needs_all_keys,
-            needs_earlier_state=position.era > self._earlier_state_era,
+            self._replica.position, needs_all_keys, self._needs_earlier_state()
         )
 
     def _merge_catch_up(self, body: bytes, peer: str) -> bool:
--- a/packages/token/tests/rollback_test.py
+++ b/packages/token/tests/rollback_test.py
@@ -313,6 +313,23 @@
     assert not receiver.subscriber._fetch_needed.is_set()
 
 
+def test_without_a_rollback_only_missing_changes_are_fetched() -> None:
+    sender = PublisherHarness()
+    receiver = SubscriberHarness()
+    for state in (sender.state, receiver.state):
+        state.replica.merge_listing(listing(5, era=3, servers_a='here'))
+    sender.write('servers/b', 'here', 6)
+    query = receiver.subscriber._build_query(needs_all_keys=False)
+    response = sender.publisher.respond_to_catch_up(
+        peer_messages.build_query(query).encode()
+    )
+    message = peer_messages.decode_catch_up(response.body, 'publisher')
+    assert isinstance(message, peer_messages.Delta)
+    assert [item.key for item in message.items] == ['servers/b']
+    receiver.catch_up(sender)
+    assert usable_names(receiver.state) == {'a', 'b'}
+
+
 def test_an_evacuation_learnt_from_a_publisher_ends_when_it_ends_there() -> (
     None
 ):
@@ -325,6 +342,22 @@
     assert receiver.state.routing.evacuated == frozenset()
 
 
+def test_nothing_is_fetched_once_writers_had_time_to_write_again() -> None:
+    sender = publisher_after_rollback()
+    sender.publisher.on_subscription(
+        peer_messages.Subscription('vm', FAR, 'here', 0, is_counted=True)
+    )
+    receiver = SubscriberHarness()
+    receiver.state.replica.merge_listing(_copied_listing())
+    receiver.subscriber.on_announcement(sender.sent[-1])
+    # The response to the fetch is lost.
+    receiver.subscriber._fetch_needed.clear()
+    advance(sender.state, OPERATOR_REWRITE_S)
+    sender.publisher.send_heartbeats()
+    receiver.subscriber.on_announcement(sender.sent[-1])
+    assert not receiver.subscriber._fetch_needed.is_set()
+
+
 def test_a_rollback_is_announced_by_a_heartbeat_and_then_fetched() -> None:
     sender = PublisherHarness()
     sender.state.replica.merge_listing(listing(9, era=1, servers_a='here'))
