Start in spite of an early packet that can't be handled

What waited in the socket was handled outside of the receiver's guard, so that an unexpected error would have ended the process.

--- a/packages/core/src/hibiscushatch_core/udp_receiver.py
+++ b/packages/core/src/hibiscushatch_core/udp_receiver.py
@@ -78,12 +78,18 @@
             except OSError as error:
                 self._record_unexpected(error)
                 return True
-            try:
-                self._handler(datagram, sender[0])
-            except Exception as error:
-                self._record_unexpected(error)
+            self.call_guarded(self._handler, datagram, sender[0])
         return False
 
+    def call_guarded(
+        self, handler: Callable[..., None], *arguments: object
+    ) -> None:
+        """Call a handler of one datagram; log and count what it raises."""
+        try:
+            handler(*arguments)
+        except Exception as error:
+            self._record_unexpected(error)
+
     def _record_unexpected(self, error: Exception) -> None:
         self._counters.unexpected_errors += 1
         error_type = type(error)
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -191,7 +191,9 @@
         waited_max_s = time.monotonic() - self._caller_socket.bound_at
         datagrams = list(self._receiver.take_waiting())
         for datagram, waited_s in estimate_waits(datagrams, waited_max_s):
-            self._traffic.forwarder.handle_waited(datagram, waited_s)
+            self._receiver.call_guarded(
+                self._traffic.forwarder.handle_waited, datagram, waited_s
+            )
         _log.info(
             'early packets handled',
             extra={
--- a/packages/token/tests/caller_socket_test.py
+++ b/packages/token/tests/caller_socket_test.py
@@ -63,3 +63,13 @@
     vm.end('new0', 'a1')
     vm.opener.place_late_flows()
     assert b'late' in placed_flows(vm)
+
+
+def test_an_early_packet_that_cannot_be_handled_does_not_stop_the_start() -> (
+    None
+):
+    counters = Counters()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp_socket:
+        receiver = UdpReceiver(udp_socket, print, counters)
+        receiver.call_guarded(fixtures.FakeCodec().parse, None)
+    assert counters.unexpected_errors == 1
