--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -112,6 +112,16 @@
                 stderr=log, stdin=subprocess.DEVNULL)
         self._record.event('start', vm=self.name, pid=self.pid)
 
+    async def restart(self):
+        """Stop the process with SIGTERM, and start it again."""
+        self._expected = True
+        self._process.terminate()
+        self._record.event('SIGTERM', vm=self.name)
+        while self._process.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(RESTART_S)
+        self.start()
+
     async def watch(self):
         """Restart the process when it has ended by itself."""
         while True:
@@ -154,11 +164,15 @@
         ]
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         (self._role,) = deploy['roles'].values()
+        self.set_seeds(seeds)
+        self.fabric = Fabric(self.vms)
+        self.tasks = []
+
+    def set_seeds(self, seeds):
+        """Write the settings file of each machine."""
         controls = [self.vms[number].control for number in seeds]
         for vm in self.vms:
             vm.write_settings(controls, self._role)
-        self.fabric = Fabric(self.vms)
-        self.tasks = []
 
     def spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
