--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,10 @@
 """An evacuation that is written during a listing never comes into force.
 
-The servers of zone pos-b have come back together and are cold, so that each
-heartbeat changes their entries. The store is slow and discards its history, so
-that the first entry VM lists all items, page by page. The operator evacuates
-pos-a after the first page, just before the heartbeat of the servers in pos-b.
+The servers of zone pos-b go down and come back together, cold, so that each
+heartbeat changes their entries; this happens with TROUBLE=0 too. Then the store
+is slow and discards its history, so that the first entry VM lists all items,
+page by page. The operator evacuates pos-a after the first page, just before the
+heartbeat of the servers in pos-b.
 """
 
 import asyncio
@@ -23,7 +24,11 @@
 PAGE = 100
 PER_ZONE = 96
 HEARTBEAT_S = 1.2
-COLD_S = 100.0
+# cold_start_s of the configuration.
+COLD_S = 20.0
+# cold_return: for_s is 4.5 in the site file; shorter than three heartbeats, so
+# that no entry lapses.
+DOWN_S = 3.0
 # 4 ms an answer, times 60.
 SLOW_S = 0.24
 SLOW_FOR_S = 4.5
@@ -44,8 +49,7 @@
     servers = [
         Server(number, 'booking', zone, deployment.port, store=store,
                record=record, heartbeat_s=HEARTBEAT_S,
-               name=f'i-{numbers.getrandbits(32):08x}',
-               cold_s=COLD_S if zone == 'pos-b' else 0)
+               name=f'i-{numbers.getrandbits(32):08x}')
         for number, zone in enumerate(fleet.ZONES * PER_ZONE)
     ]
     cold = [server for server in servers if server.zone == 'pos-b']
@@ -78,7 +82,6 @@
         for server in servers:
             server.start(beats=False)
             server.write_entry()
-        deployment.spawn(beat())
         await deployment.start()
         await asyncio.sleep(2)
         for number in range(CLIENTS):
@@ -87,7 +90,16 @@
             client.start()
             clients.append(client)
             deployment.spawn(_use(client, record, counts))
-        await asyncio.sleep(3)
+        await asyncio.sleep(1)
+        for server in cold:
+            server.go_down()
+        record.event('servers down', zone='pos-b')
+        await asyncio.sleep(DOWN_S)
+        for server in cold:
+            server.come_back(COLD_S)
+        record.event('servers back', zone='pos-b')
+        deployment.spawn(beat())
+        await asyncio.sleep(2)
         if fleet.is_troubled():
             store.on_page = on_page
             record.event('store slow, hears nothing')
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -19,7 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('pos-a', 'pos-b', 'pos-c')
 RESTART_S = 0.5
-ENDPOINT_HOST = '198.18.0.1'
+ENDPOINT_HOST = '127.70.0.1'
 
 
 def is_troubled():
@@ -224,7 +224,7 @@
         ],
         'services': [
             {'name': name, 'health_path': '/health', 'max_conns': 2000,
-             'protocol': 'h1', 'tls': False, 'cold_start_s': 10.0,
+             'protocol': 'h1', 'tls': False, 'cold_start_s': 20.0,
              'cold_per_s': cold_per_s}
             for name, cold_per_s in services
         ],
--- a/review/common/net.py
+++ b/review/common/net.py
@@ -146,6 +146,28 @@
             task.cancel()
         self._udp.close()
 
+    def go_down(self):
+        asyncio.get_running_loop().remove_reader(self._udp)
+        for task in self._tasks:
+            task.cancel()
+        self._flows.clear()
+        self._queue.clear()
+        self._busy = 0
+
+    def come_back(self, cold_s):
+        """Start again under the same id, cold; nothing of before is known."""
+        self.born_at = time.monotonic()
+        self.born = int(time.time() * 1000)
+        self.cold_until = self.born_at + cold_s
+        self._seq_no = 0
+        while True:
+            try:
+                self._udp.recv(4096)
+            except BlockingIOError:
+                break
+        asyncio.get_running_loop().add_reader(self._udp, self._receive)
+        self.write_entry()
+
     @property
     def cold_left_ms(self):
         return max(0, int((self.cold_until - time.monotonic()) * 1000))
