Count requests rather than flows as load

A flow is now outstanding until its first response and afterwards while a request is under way, also when it was opened at another entry VM. Demand, refusals, rejections and answers are counted by service, failure domain and priority (local_load), and sums over the fleet get a place (fleet_load), which nothing feeds yet.

Before: an open flow without a request is load, a resumed one is none.

--- a/packages/token/src/hibiscushatch_token/health/request_watch.py
+++ b/packages/token/src/hibiscushatch_token/health/request_watch.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import enum
 from collections.abc import Callable
 
 import msgspec
@@ -50,6 +51,18 @@
     is_failed: bool = False
 
 
+class RequestEnd(enum.Enum):
+    """How a request ended, as far as its times show.
+
+    Attributes:
+        ANSWERED: Its response began.
+        REJECTED: Its response came too early for any work.
+    """
+
+    ANSWERED = enum.auto()
+    REJECTED = enum.auto()
+
+
 class RequestWatch:
     """The requests that wait for a response, by flow.
 
@@ -78,13 +91,16 @@
 
     def observe_packet(
         self, packet: FlowPacket, upstream: Upstream, handshake_s: float
-    ) -> None:
+    ) -> RequestEnd | None:
         """Begin or end a request, by a packet of an accepted flow.
 
         Args:
             packet: The caller's packet.
             upstream: The upstream of its flow.
             handshake_s: How long the upstream took to accept the flow.
+
+        Returns:
+            How a request ended; None if none did.
         """
         now = self._clock()
         request = self._waiting.get(packet.flow)
@@ -102,9 +118,12 @@
             for signal in _SIGNALS:
                 if signal.matches(times, baseline):
                     self._record_failure(request, signal)
-            if not _EARLY_END.is_early(times, baseline):
+            is_early = _EARLY_END.is_early(times, baseline)
+            if not is_early:
                 self._on_served(request.upstream.service, times.waited_s)
             self._response_times.record_response(request.upstream, times)
+            return RequestEnd.REJECTED if is_early else RequestEnd.ANSWERED
+        return None
 
     def record_overdue(self) -> None:
         """Count overdue requests as failures, and drop abandoned ones."""
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -193,6 +193,33 @@
     domain_share_max: _Share = 0.5
 
 
+class LoadSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """How entry VMs tell each other their load.
+
+    Attributes:
+        is_exchanged: Whether this entry VM reports and announces load.
+        rate_half_life_s: Half-life of the counts from which rates are computed.
+        fresh_s: Age from which sums over the fleet are not used any more.
+        report_s: Shortest time between two reports or announcements of load
+            while a service is under pressure. At rest they travel with the
+            messages that are sent anyway.
+        pressure_on: Requests under way per slot of a service from which it
+            counts as under pressure.
+        bytes_per_s: Most bytes a second that an entry VM spends on them.
+        rows_max: Most rows in one message.
+    """
+
+    is_exchanged: bool = True
+    rate_half_life_s: _Seconds = 0.5
+    fresh_s: _Seconds = 2.0
+    report_s: _Seconds = 0.2
+    pressure_on: _UpToHundred = 0.8
+    bytes_per_s: _Rate = 6000.0
+    rows_max: _Count = 32
+
+
 class TokenNodeSettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -213,6 +240,7 @@
         placement: How new flows are placed.
         outliers: When an upstream is ejected whose requests fail.
         admission: When new flows of an overloaded service are refused.
+        load: How entry VMs tell each other their load.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time in which the fabric stops sending packets once the
             readiness check fails: two checks, at two checks a second, and
@@ -238,6 +266,7 @@
     placement: PlacementSettings = PlacementSettings()
     outliers: OutlierSettings = OutlierSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    load: LoadSettings = LoadSettings()
     stop_grace_s: _Seconds = 6.0
     rotation_s: _Seconds = 1.4
     flow_age_max_s: _Seconds = 60.0
--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -24,6 +24,7 @@
 from hibiscushatch_token.settings import PlacementSettings
 from hibiscushatch_token.traffic.flow_table import FlowRecord, FlowTable
 from hibiscushatch_token.traffic.late_flows import LateFlows, is_late
+from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit
 from hibiscushatch_token.traffic.placement import Placement
 
@@ -52,6 +53,7 @@
         flows: Flows opened here.
         placement: Chooses upstreams, and refuses flows in an overload.
         reachability: Notified of answered and unanswered opening packets.
+        local_load: Counts new flows and refusals.
         packet_exit: Sends packets.
     """
 
@@ -63,6 +65,7 @@
         flows: FlowTable,
         placement: Placement,
         reachability: Reachability,
+        local_load: LocalLoad,
         packet_exit: PacketExit,
     ) -> None:
         self._settings = settings
@@ -72,6 +75,7 @@
         self._flows = flows
         self._placement = placement
         self._reachability = reachability
+        self._local_load = local_load
         self._packet_exit = packet_exit
         self._counters = environment.counters
         self._clock = environment.clock
@@ -80,6 +84,11 @@
         self._errors = UnexpectedErrors(self._counters, self._clock)
         self._late_flows = LateFlows(self._clock)
 
+    @property
+    def average_answer_s(self) -> float:
+        """Average time in which upstreams accept flows; 0 at first."""
+        return self._average_answer_s
+
     def open(self, packet: FlowPacket) -> None:
         """Handle the opening packet of a flow or a copy of it."""
         if self._late_flows.update_packet(packet):
@@ -98,6 +107,7 @@
         service = self._placement.draw_service(route)
         if record is None:
             self._retry_budget.record_flow(now)
+            self._local_load.record_demand(service, route.priority)
             self._admit_or_defer(packet, service, route, now)
         else:
             self._place_again(packet, service, record, now)
@@ -227,6 +237,7 @@
         if refusal is None:
             self._place(packet, service, (), now)
             return
+        self._local_load.record_refused(service, route.priority)
         cause = msgspec.structs.asdict(refusal)
         self._refuse(packet, RefusalReason.OVERLOAD, cause)
 
@@ -250,10 +261,13 @@
             return False
 
     def _retry_other_upstream(self, record: FlowRecord, now: float) -> bool:
-        if record.is_retried or not self._retry_budget.take(now):
+        opening = record.opening
+        if opening is None or record.is_retried:
+            return False
+        if not self._retry_budget.take(now):
             return False
         tried = record.tried_with_current
-        route = self._routing.route_of(record.opening.endpoint)
+        route = self._routing.route_of(opening.endpoint)
         if route is None:
             return False
         service = self._placement.draw_service(route)
@@ -262,7 +276,7 @@
             return False
         record.is_retried = True
         self._counters.retries[RetryReason.CONNECT_UNANSWERED] += 1
-        self._send(record.opening, upstream, tried, now)
+        self._send(opening, upstream, tried, now)
         return True
 
     def _send(
@@ -272,7 +286,9 @@
         tried: tuple[str, ...],
         now: float,
     ) -> None:
-        self._flows.place(packet, upstream, now)
+        route = self._routing.route_of(packet.endpoint)
+        priority = 0 if route is None else route.priority
+        self._flows.place(packet, priority, upstream, now)
         self._counters.flows_placed += 1
         _log.info(
             'flow placed',
@@ -297,7 +313,7 @@
         _log.info(
             'flow unanswered',
             extra={
-                'flow': self._codec.describe(record.opening.flow),
+                'flow': self._codec.describe(record.flow),
                 'upstream': record.upstream.name,
                 'waited_s': round(now - record.placed_at, 3),
             },
--- a/packages/token/src/hibiscushatch_token/traffic/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_table.py
@@ -1,7 +1,12 @@
-"""The flows that this entry VM opened and that are not known to have ended.
+"""The flows that were active here lately, as a measure of load.
 
-The table only serves placement and health: packets are forwarded by their
-token, whether their flow is in the table or not.
+The unit of load is the request. A flow is outstanding from its opening packet
+until its first request was answered, and after that while a request is under
+way. So a flow that is kept open costs nothing between its requests, and a flow
+that was opened at another entry VM counts as soon as a request comes on it.
+
+The table only serves placement, admission and health: packets are forwarded by
+their token, whether their flow is in the table or not.
 """
 
 import collections
@@ -17,7 +22,10 @@
     All times are in monotonic seconds.
 
     Attributes:
-        opening: The opening packet with which the flow was first placed.
+        flow: Addresses and ports of both ends.
+        opening: The opening packet with which the flow was first placed; None
+            when it was opened at another entry VM or was dropped here.
+        priority: Priority of its route.
         upstream: The upstream to which its opening packet went last, or that
             has answered.
         placed_at: When its opening packet was sent last.
@@ -35,7 +43,9 @@
     """
 
     __slots__ = (
+        'flow',
         'opening',
+        'priority',
         'upstream',
         'placed_at',
         'opened_at',
@@ -49,9 +59,16 @@
     )
 
     def __init__(
-        self, opening: FlowPacket, upstream: Upstream, now: float
+        self,
+        flow: bytes,
+        opening: FlowPacket | None,
+        priority: int,
+        upstream: Upstream,
+        now: float,
     ) -> None:
+        self.flow = flow
         self.opening = opening
+        self.priority = priority
         self.upstream = upstream
         self.placed_at = now
         self.opened_at = now
@@ -70,7 +87,7 @@
 
 
 class FlowTable:
-    """Flows by addresses and ports, counted by upstream and service."""
+    """Flows by addresses and ports, with counts of the outstanding ones."""
 
     def __init__(self) -> None:
         self._flows: dict[bytes, FlowRecord] = {}
@@ -82,6 +99,10 @@
         self._outstanding_by_service: collections.Counter[str] = (
             collections.Counter()
         )
+        # By service, failure domain of the upstream, and priority.
+        self._outstanding_by_key: collections.Counter[tuple[str, str, int]] = (
+            collections.Counter()
+        )
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -98,13 +119,32 @@
         """Return how many outstanding flows a service has from here."""
         return self._outstanding_by_service.get(service, 0)
 
+    def outstanding_of_priority(self, service: str, priority: int) -> int:
+        """Return how many outstanding flows of a priority a service has."""
+        return sum(
+            count
+            for key, count in self._outstanding_by_key.items()
+            if key[0] == service and key[2] == priority
+        )
+
+    def outstanding_by_key(self) -> Iterator[tuple[tuple[str, str, int], int]]:
+        """Yield outstanding flows by service, upstreams' domain and priority.
+
+        Combinations without an outstanding flow may be missing.
+        """
+        yield from self._outstanding_by_key.items()
+
     def place(
-        self, opening: FlowPacket, upstream: Upstream, now: float
+        self,
+        opening: FlowPacket,
+        priority: int,
+        upstream: Upstream,
+        now: float,
     ) -> None:
         """Add a flow, or move an unanswered one to another upstream."""
         record = self._flows.get(opening.flow)
         if record is None:
-            record = FlowRecord(opening, upstream, now)
+            record = FlowRecord(opening.flow, opening, priority, upstream, now)
             self._flows[opening.flow] = record
         else:
             record.tried = record.tried_with_current
@@ -115,10 +155,34 @@
         self._unanswered.pop(opening.flow, None)
         self._unanswered[opening.flow] = record
 
+    def add_continued(
+        self, flow: bytes, priority: int, upstream: Upstream, now: float
+    ) -> FlowRecord:
+        """Add a flow that is open already and continues here."""
+        record = FlowRecord(flow, None, priority, upstream, now)
+        record.is_answered = True
+        self._flows[flow] = record
+        return record
+
+    def begin_request(self, record: FlowRecord) -> bool:
+        """Count an open flow as outstanding, as a request came on it.
+
+        Returns:
+            Whether it was not outstanding before.
+        """
+        if record.is_outstanding:
+            return False
+        self._start_counting(record)
+        return True
+
+    def end_request(self, record: FlowRecord) -> None:
+        """Stop counting a flow as outstanding until its next request."""
+        self._stop_counting(record)
+
     def record_answer(self, record: FlowRecord, upstream: Upstream) -> None:
         """Record the upstream that answered, maybe an earlier one."""
         record.is_answered = True
-        self._unanswered.pop(record.opening.flow, None)
+        self._unanswered.pop(record.flow, None)
         self._reassign(record, upstream)
         self._start_counting(record)
 
@@ -130,11 +194,8 @@
 
     def stop_counting(self, record: FlowRecord) -> None:
         """Stop counting a flow as unanswered and outstanding."""
-        self._unanswered.pop(record.opening.flow, None)
-        if record.is_outstanding:
-            record.is_outstanding = False
-            self._outstanding_by_upstream[record.upstream.name] -= 1
-            self._outstanding_by_service[record.upstream.service] -= 1
+        self._unanswered.pop(record.flow, None)
+        self._stop_counting(record)
 
     def unanswered(self) -> Iterator[FlowRecord]:
         """Yield the flows without an answer, earliest placed first."""
@@ -156,5 +217,16 @@
 
     def _start_counting(self, record: FlowRecord) -> None:
         record.is_outstanding = True
-        self._outstanding_by_upstream[record.upstream.name] += 1
-        self._outstanding_by_service[record.upstream.service] += 1
+        self._count(record, 1)
+
+    def _stop_counting(self, record: FlowRecord) -> None:
+        if record.is_outstanding:
+            record.is_outstanding = False
+            self._count(record, -1)
+
+    def _count(self, record: FlowRecord, change: int) -> None:
+        upstream = record.upstream
+        self._outstanding_by_upstream[upstream.name] += change
+        self._outstanding_by_service[upstream.service] += change
+        key = (upstream.service, upstream.domain, record.priority)
+        self._outstanding_by_key[key] += change
--- a/packages/token/src/hibiscushatch_token/traffic/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/traffic/forwarder.py
@@ -6,12 +6,13 @@
 
 from hibiscushatch_core.reasons import DropReason
 from hibiscushatch_token.environment import Environment
-from hibiscushatch_token.health.request_watch import RequestWatch
-from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.health.request_watch import RequestEnd, RequestWatch
+from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.ports import FlowObserver, FlowPacket
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowRecord, FlowTable
+from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit
 
 
@@ -20,27 +21,31 @@
 
     Args:
         environment: Codec, counters and clock.
-        registry: Upstreams by token.
-        flows: Flows opened here.
+        known: Routes in force, and upstreams by token.
+        flows: Flows opened or continued here.
         opener: Opens flows.
         request_watch: Measures how long requests take.
+        local_load: Counts requests and answers.
         packet_exit: Sends packets.
     """
 
     def __init__(
         self,
         environment: Environment,
-        registry: Registry,
+        known: KnownState,
         flows: FlowTable,
         opener: FlowOpener,
         request_watch: RequestWatch,
+        local_load: LocalLoad,
         packet_exit: PacketExit,
     ) -> None:
         self._codec = environment.codec
-        self._registry = registry
+        self._registry = known.registry
+        self._routing = known.routing
         self._flows = flows
         self._opener = opener
         self._request_watch = request_watch
+        self._local_load = local_load
         self._packet_exit = packet_exit
         self._counters = environment.counters
         self._clock = environment.clock
@@ -48,7 +53,7 @@
 
     @property
     def open_flows(self) -> int:
-        """Number of flows opened here that are not known to have ended."""
+        """Number of flows in the table, which were active here lately."""
         return len(self._flows)
 
     def observe(self, observer: FlowObserver) -> None:
@@ -82,6 +87,8 @@
         record = self._flows.get(packet.flow)
         if record is None:
             self._opener.on_flow_continued(packet.flow)
+            if upstream is not None:
+                self._record_continued(packet, upstream)
         else:
             upstream = self._record_packet(packet, record, upstream)
         if upstream is None:
@@ -102,13 +109,42 @@
             if self._observer is not None:
                 self._observer.on_answer(answer_s)
         if record.is_answered:
-            self._request_watch.observe_packet(
-                packet, record.upstream, record.answer_s
-            )
+            self._observe_request(packet, record)
         if packet.is_last:
-            if self._observer is not None:
+            if self._observer is not None and record.opening is not None:
                 self._observer.on_end(now - record.opened_at)
             self._opener.on_flow_ended(packet.flow)
         # The record takes precedence over the token, which a late answer of
         # another upstream may have changed.
         return record.upstream if record.is_answered else upstream
+
+    def _record_continued(self, packet: FlowPacket, upstream: Upstream) -> None:
+        """Record a packet of a flow that is open and not in the table."""
+        if not packet.has_payload or packet.is_last:
+            self._request_watch.observe_packet(packet, upstream, 0)
+            return
+        route = self._routing.route_of(packet.endpoint)
+        record = self._flows.add_continued(
+            packet.flow,
+            0 if route is None else route.priority,
+            upstream,
+            self._clock(),
+        )
+        # The handshake was not seen here, so its usual time is taken.
+        record.answer_s = self._opener.average_answer_s
+        self._observe_request(packet, record)
+
+    def _observe_request(self, packet: FlowPacket, record: FlowRecord) -> None:
+        upstream = record.upstream
+        end = self._request_watch.observe_packet(
+            packet, upstream, record.answer_s
+        )
+        if end is not None:
+            self._flows.end_request(record)
+            self._local_load.record_answered(
+                upstream, record.priority, end is RequestEnd.REJECTED
+            )
+            return
+        is_request = packet.has_payload and not packet.is_last
+        if is_request and self._flows.begin_request(record):
+            self._local_load.record_demand(upstream.service, record.priority)
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -9,6 +9,7 @@
 from hibiscushatch_token.health.request_watch import RequestWatch
 from hibiscushatch_token.health.response_times import ResponseTimes
 from hibiscushatch_token.health.upstream_verdicts import UpstreamVerdicts
+from hibiscushatch_token.knowledge.fleet_load import FleetLoad
 from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.registry import Registry
 from hibiscushatch_token.knowledge.routing import Routing
@@ -19,6 +20,7 @@
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowTable
 from hibiscushatch_token.traffic.forwarder import Forwarder
+from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit, SendDatagram
 from hibiscushatch_token.traffic.placement import Placement
 
@@ -46,6 +48,8 @@
         )
         self.known = KnownState(Routing(), registry, count_fleet)
         self.flows = FlowTable()
+        self.local_load = LocalLoad(settings, clock, self.flows)
+        self.fleet_load = FleetLoad(settings.load.fresh_s, clock, count_fleet)
         self.reachability = Reachability(environment.randomness)
         self.response_times = ResponseTimes(clock)
         self.outliers = OutlierDetector(settings.outliers, self.known, clock)
@@ -86,14 +90,16 @@
             self.flows,
             self.placement,
             self.reachability,
+            self.local_load,
             packet_exit,
         )
         self.forwarder = Forwarder(
             environment,
-            registry,
+            self.known,
             self.flows,
             self.opener,
             self.request_watch,
+            self.local_load,
             packet_exit,
         )
 
--- a/packages/token/tests/admission_test.py
+++ b/packages/token/tests/admission_test.py
@@ -129,7 +129,7 @@
         vm = warmed_up_vm(response_s=SLOW_RESPONSE_S)
         for index in range(3 * OPEN_MAX):
             hanging = FakeCodec().parse(opening_packet(f'h{index:03}'))
-            vm.flows.place(hanging, upstream(UPSTREAMS[0]), vm.clock.now)
+            vm.flows.place(hanging, 0, upstream(UPSTREAMS[0]), vm.clock.now)
         if is_ejected:
             vm.outliers.adopt_ejection(UPSTREAMS[0], 20, 'publisher')
         vm.open('next')
