--- a/packages/token/src/hibiscushatch_token/health/request_watch.py
+++ b/packages/token/src/hibiscushatch_token/health/request_watch.py
@@ -109,21 +109,11 @@
                 self._waiting[packet.flow] = self._begin(
                     upstream, now, handshake_s
                 )
-        elif request is not None:
-            del self._waiting[packet.flow]
-            times = RequestTimes(
-                now - request.began_at, request.handshake_s, is_answered=True
-            )
-            baseline = self._response_times.baseline(request.upstream.service)
-            for signal in _SIGNALS:
-                if signal.matches(times, baseline):
-                    self._record_failure(request, signal)
-            is_early = _EARLY_END.is_early(times, baseline)
-            if not is_early:
-                self._on_served(request.upstream.service, times.waited_s)
-            self._response_times.record_response(request.upstream, times)
-            return RequestEnd.REJECTED if is_early else RequestEnd.ANSWERED
-        return None
+            return None
+        if request is None:
+            return None
+        del self._waiting[packet.flow]
+        return self._end(request, now)
 
     def record_overdue(self) -> None:
         """Count overdue requests as failures, and drop abandoned ones."""
@@ -158,6 +148,20 @@
         overdue_at = now + _OVERDUE.threshold_s(baseline)
         return _Request(upstream, now, handshake_s, overdue_at)
 
+    def _end(self, request: _Request, now: float) -> RequestEnd:
+        times = RequestTimes(
+            now - request.began_at, request.handshake_s, is_answered=True
+        )
+        baseline = self._response_times.baseline(request.upstream.service)
+        for signal in _SIGNALS:
+            if signal.matches(times, baseline):
+                self._record_failure(request, signal)
+        is_early = _EARLY_END.is_early(times, baseline)
+        if not is_early:
+            self._on_served(request.upstream.service, times.waited_s)
+        self._response_times.record_response(request.upstream, times)
+        return RequestEnd.REJECTED if is_early else RequestEnd.ANSWERED
+
     def _record_failure(self, request: _Request, signal: RequestSignal) -> None:
         if not request.is_failed:
             request.is_failed = True
--- a/packages/token/src/hibiscushatch_token/traffic/admission.py
+++ b/packages/token/src/hibiscushatch_token/traffic/admission.py
@@ -19,6 +19,7 @@
 from hibiscushatch_token.settings import AdmissionSettings
 from hibiscushatch_token.traffic.concurrency_limit import ConcurrencyLimit
 from hibiscushatch_token.traffic.flow_table import FlowTable
+from hibiscushatch_token.traffic.local_load import LocalLoad
 
 # An overload has ended when no flow was refused for this long.
 _OVERLOAD_END_DELAY_S = 1.0
@@ -69,6 +70,7 @@
         environment: The clock.
         known: Routes in force, upstreams and the number of entry VMs.
         flows: Open flows.
+        local_load: Counts demand and refusals.
         outliers: Ejected upstreams; flows that hang on them don't count as
             load.
     """
@@ -79,12 +81,14 @@
         environment: Environment,
         known: KnownState,
         flows: FlowTable,
+        local_load: LocalLoad,
         outliers: OutlierDetector,
     ) -> None:
         self._settings = settings
         self._clock = environment.clock
         self._known = known
         self._flows = flows
+        self._local_load = local_load
         self._outliers = outliers
         self._limits: dict[str, ConcurrencyLimit] = {}
         self._overloads: dict[str, _Overload] = {}
@@ -124,9 +128,14 @@
             round(limit.response_s, 3),
             round(limit.baseline_s, 3),
         )
+        self._local_load.record_refused(service, route.priority)
         self._record_refused(service, refusal, limit.rate_per_s)
         return refusal
 
+    def record_demand(self, service: str, route: Route) -> None:
+        """Count a new flow that a caller asked for, admitted or not."""
+        self._local_load.record_demand(service, route.priority)
+
     def record_response(self, service: str, response_s: float) -> None:
         """Count a request that was served.
 
--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -24,7 +24,6 @@
 from hibiscushatch_token.settings import PlacementSettings
 from hibiscushatch_token.traffic.flow_table import FlowRecord, FlowTable
 from hibiscushatch_token.traffic.late_flows import LateFlows, is_late
-from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit
 from hibiscushatch_token.traffic.placement import Placement
 
@@ -53,7 +52,6 @@
         flows: Flows opened here.
         placement: Chooses upstreams, and refuses flows in an overload.
         reachability: Notified of answered and unanswered opening packets.
-        local_load: Counts new flows and refusals.
         packet_exit: Sends packets.
     """
 
@@ -65,7 +63,6 @@
         flows: FlowTable,
         placement: Placement,
         reachability: Reachability,
-        local_load: LocalLoad,
         packet_exit: PacketExit,
     ) -> None:
         self._settings = settings
@@ -75,7 +72,6 @@
         self._flows = flows
         self._placement = placement
         self._reachability = reachability
-        self._local_load = local_load
         self._packet_exit = packet_exit
         self._counters = environment.counters
         self._clock = environment.clock
@@ -107,7 +103,7 @@
         service = self._placement.draw_service(route)
         if record is None:
             self._retry_budget.record_flow(now)
-            self._local_load.record_demand(service, route.priority)
+            self._placement.record_demand(service, route)
             self._admit_or_defer(packet, service, route, now)
         else:
             self._place_again(packet, service, record, now)
@@ -237,7 +233,6 @@
         if refusal is None:
             self._place(packet, service, (), now)
             return
-        self._local_load.record_refused(service, route.priority)
         cause = msgspec.structs.asdict(refusal)
         self._refuse(packet, RefusalReason.OVERLOAD, cause)
 
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -65,6 +65,7 @@
             environment,
             self.known,
             self.flows,
+            self.local_load,
             self.outliers,
         )
         self.request_watch = RequestWatch(
@@ -90,7 +91,6 @@
             self.flows,
             self.placement,
             self.reachability,
-            self.local_load,
             packet_exit,
         )
         self.forwarder = Forwarder(
--- a/packages/token/src/hibiscushatch_token/traffic/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -93,6 +93,10 @@
         )
         return open_here < max(1, self._own_share_of(slots))
 
+    def record_demand(self, service: str, route: Route) -> None:
+        """Count a new flow that a caller asked for, admitted or not."""
+        self._admission.record_demand(service, route)
+
     def check_admission(self, service: str, route: Route) -> Refusal | None:
         """Return why a new flow must be refused; None when it is admitted."""
         slots = self._pool_of(service).pool.slots
--- a/packages/token/tests/local_load_test.py
+++ b/packages/token/tests/local_load_test.py
@@ -52,8 +52,8 @@
     for covered, factor in ((10, 1), (8, 1.25), (2, 2), (20, 1)):
         fleet = FleetLoad(2, clock, lambda: 10)
         fleet.update([(KEY, LoadSum(under_way=4))], covered, 0)
-        ((_, load),) = fleet.rows_of('booking')
-        assert load.under_way == 4 * factor, covered
+        loads = [load.under_way for _, load in fleet.rows_of('booking')]
+        assert loads == [4 * factor], covered
 
 
 def test_sums_are_not_used_beyond_their_age() -> None:
