Split off from core what needs the event loop

The packet path imported asyncio through three functions that only the control plane uses. They move to modules of their own: reading datagrams (no event loop) and receiving them in it, keeping background tasks running, and listening at an address once it is free. No behavior changes; importing the others no longer imports asyncio.

--- a/packages/core/src/hibiscushatch_core/busy_addresses.py
+++ b/packages/core/src/hibiscushatch_core/busy_addresses.py
@@ -5,16 +5,15 @@
 end again until the predecessor is gone.
 """
 
-import asyncio
 import errno
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import TypeVar
 
 # Longer than the 6 s in which a predecessor has to stop.
 ADDRESS_WAIT_S = 10.0
-_RETRY_INTERVAL_S = 0.05
+RETRY_INTERVAL_S = 0.05
 _WAITED_FOR = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
 
 _log = logging.getLogger(__name__)
@@ -22,7 +21,7 @@
 Bound = TypeVar('Bound')
 
 
-class _Wait:
+class AddressWait:
     """Decides whether to try again, and logs the first failure.
 
     Args:
@@ -60,31 +59,10 @@
     Raises:
         OSError: The address stays occupied, or can't be bound at all.
     """
-    wait = _Wait(address)
+    wait = AddressWait(address)
     while True:
         try:
             return bind()
         except OSError as error:
             wait.check(error)
-        time.sleep(_RETRY_INTERVAL_S)
-
-
-async def listen_when_free(
-    address: str, listen: Callable[[], Awaitable[None]]
-) -> None:
-    """Listen at an address once it is free.
-
-    Args:
-        address: The address, for log lines.
-        listen: Starts to listen.
-
-    Raises:
-        OSError: The address stays occupied, or can't be bound at all.
-    """
-    wait = _Wait(address)
-    while True:
-        try:
-            return await listen()
-        except OSError as error:
-            wait.check(error)
-        await asyncio.sleep(_RETRY_INTERVAL_S)
+        time.sleep(RETRY_INTERVAL_S)
--- a/packages/core/src/hibiscushatch_core/unexpected_errors.py
+++ b/packages/core/src/hibiscushatch_core/unexpected_errors.py
@@ -7,18 +7,14 @@
 errors were left out.
 """
 
-import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.log_throttle import LogThrottle
 
 _LOG_INTERVAL_S = 10.0
-_RESTART_DELAY_MIN_S = 0.05
-_RESTART_DELAY_MAX_S = 2.0
-_RESTART_DELAY_GROWTH = 2.0
 
 _log = logging.getLogger(__name__)
 
@@ -75,27 +71,3 @@
             function(*arguments)
         except Exception as error:
             self.record(step, error)
-
-    async def keep_running(
-        self, step: str, run: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Run a background task, and start it again after an error.
-
-        Returns when the task returns. The pause before a restart grows while
-        the task fails at once.
-
-        Args:
-            step: What the task does; one of few names.
-            run: Runs the task; called again after an error.
-        """
-        delay_s = _RESTART_DELAY_MIN_S
-        while True:
-            started_at = self._clock()
-            try:
-                return await run()
-            except Exception as error:
-                self.record(step, error)
-            if self._clock() - started_at > _RESTART_DELAY_MAX_S:
-                delay_s = _RESTART_DELAY_MIN_S
-            await asyncio.sleep(delay_s)
-            delay_s = min(_RESTART_DELAY_MAX_S, delay_s * _RESTART_DELAY_GROWTH)
--- a/packages/core/tests/unexpected_errors_test.py
+++ b/packages/core/tests/unexpected_errors_test.py
@@ -5,6 +5,7 @@
 import os
 import unittest
 
+from hibiscushatch_core.background_tasks import keep_running
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.log_format import BoundedHandler, JsonFormatter
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
@@ -30,7 +31,7 @@
         await asyncio.sleep(0)
 
     with unittest.TestCase().assertLogs(LOG, 'ERROR') as lines:
-        await errors.keep_running('retrying flows', run)
+        await keep_running(errors, 'retrying flows', run)
     assert runs == [0, 1, 2, 3]
     assert counters.unexpected_errors == 3
     assert [record.step for record in lines.records] == ['retrying flows']
@@ -40,13 +41,14 @@
     None
 ):
     counters = Counters()
-    errors = UnexpectedErrors(counters, asyncio.get_running_loop().time)
+    clock = asyncio.get_running_loop().time
+    errors = UnexpectedErrors(counters, clock)
 
     async def fail() -> None:
         raise ValueError
 
     with unittest.TestCase().assertLogs(LOG, 'ERROR'):
-        task = asyncio.create_task(errors.keep_running('failing', fail))
+        task = asyncio.create_task(keep_running(errors, 'failing', fail, clock))
         await asyncio.sleep(60)
     task.cancel()
     assert 10 < counters.unexpected_errors < 50
--- a/packages/node/tests/udp_test.py
+++ b/packages/node/tests/udp_test.py
@@ -5,7 +5,12 @@
 
 import adapter_fixtures
 
-from hibiscushatch_core import packets, udp_receiver, udp_socket
+from hibiscushatch_core import (
+    datagram_reader,
+    packets,
+    udp_receiver,
+    udp_socket,
+)
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.reasons import DropReason
 from hibiscushatch_node.adapters import udp
@@ -17,7 +22,7 @@
     bytes(20),
     b'\x60' + bytes(60),
     bytes(packets.PACKET_BYTES_MAX + 1),
-    bytes(udp_receiver.DATAGRAM_BYTES_MAX * 2),
+    bytes(datagram_reader.DATAGRAM_BYTES_MAX * 2),
 )
 
 
@@ -45,7 +50,9 @@
             for datagram in DATAGRAMS:
                 sending_socket.sendto(datagram, receiving_socket.getsockname())
                 received = await asyncio.wait_for(received_datagrams.get(), 5)
-                assert received == datagram[: udp_receiver.DATAGRAM_BYTES_MAX]
+                assert (
+                    received == datagram[: datagram_reader.DATAGRAM_BYTES_MAX]
+                )
         receiver.stop()
     assert counters.unexpected_errors == len(DATAGRAMS)
     assert len(records) == 1
@@ -80,18 +87,18 @@
             Counters(),
         )
         with udp_socket.open_udp_socket(_address()) as sending_socket:
-            for size in range(udp_receiver.BATCH_DATAGRAMS_MAX * 2 + 1):
+            for size in range(datagram_reader.BATCH_DATAGRAMS_MAX * 2 + 1):
                 sending_socket.sendto(
                     bytes(size), receiving_socket.getsockname()
                 )
         receiver.start()
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        assert len(sizes) <= udp_receiver.BATCH_DATAGRAMS_MAX * 2
-        while len(sizes) <= udp_receiver.BATCH_DATAGRAMS_MAX * 2:
+        assert len(sizes) <= datagram_reader.BATCH_DATAGRAMS_MAX * 2
+        while len(sizes) <= datagram_reader.BATCH_DATAGRAMS_MAX * 2:
             await asyncio.sleep(0)
         receiver.stop()
-    assert sizes == list(range(udp_receiver.BATCH_DATAGRAMS_MAX * 2 + 1))
+    assert sizes == list(range(datagram_reader.BATCH_DATAGRAMS_MAX * 2 + 1))
 
 
 def test_only_packets_to_peers_use_the_relay_socket() -> None:
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -8,9 +8,10 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import TYPE_CHECKING
 
-from hibiscushatch_core.busy_addresses import listen_when_free
+from hibiscushatch_core.background_tasks import keep_running
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import InvalidDocumentError
+from hibiscushatch_core.listening import listen_when_free
 from hibiscushatch_core.udp_receiver import UdpReceiver
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
 from hibiscushatch_token import http1, status
@@ -132,7 +133,7 @@
         )
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(self._errors.keep_running(step, run))
+                group.create_task(keep_running(self._errors, step, run))
                 for step, run in self._background_tasks()
             ]
             await stop.wait()
