Split HTTP messages from the client and server over asyncio

A response can now be parsed, and the status be described, without importing asyncio, which the start needs in order to read its first listing before it. The parsing itself is unchanged. http1_test passes (5 tests).

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -18,6 +18,7 @@
 from hibiscushatch_token.caller_socket import CallerSocket, estimate_waits
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.health.partition import PartitionDetector
+from hibiscushatch_token.http_messages import OK, Response
 from hibiscushatch_token.knowledge.replication import Replication
 from hibiscushatch_token.ports import Documents, PacketCodec, Store
 from hibiscushatch_token.settings import (
@@ -244,12 +245,12 @@
         self._metrics = TokenMetrics()
         self._traffic.forwarder.observe(self._metrics)
 
-    def _respond_metrics(self, _query: bytes) -> http1.Response:
+    def _respond_metrics(self, _query: bytes) -> Response:
         if self._metrics is None:
-            return http1.Response(_SERVICE_UNAVAILABLE, b'')
+            return Response(_SERVICE_UNAVAILABLE, b'')
         return self._metrics.respond(self._counters, self._build_status())
 
-    def _respond_status(self, _query: bytes) -> http1.Response:
+    def _respond_status(self, _query: bytes) -> Response:
         return status.respond(self._build_status())
 
     def _build_status(self) -> status.Status:
@@ -325,9 +326,9 @@
             },
         )
 
-    def _respond_readiness(self, _query: bytes) -> http1.Response:
-        code = http1.OK if self._is_in_rotation() else _SERVICE_UNAVAILABLE
-        return http1.Response(code, b'')
+    def _respond_readiness(self, _query: bytes) -> Response:
+        code = OK if self._is_in_rotation() else _SERVICE_UNAVAILABLE
+        return Response(code, b'')
 
     def _is_in_rotation(self) -> bool:
         is_out = self._is_stopping or self._partition.is_suspected
--- a/packages/token/src/hibiscushatch_token/http1.py
+++ b/packages/token/src/hibiscushatch_token/http1.py
@@ -2,8 +2,7 @@
 
 A client connection carries one request at a time. It is closed as soon as a
 response is not received in time, since a connection that stopped responding may
-never recover. httptools binds a parser written in C: importing it takes 2 ms of
-a core, against 10 ms for a parser in Python, at each start of the process.
+never recover.
 """
 
 import asyncio
@@ -13,27 +12,23 @@
 from collections.abc import Callable
 
 import httptools
-import msgspec
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.log_throttle import LogThrottle
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
+from hibiscushatch_token.http_messages import (
+    PARSER_ERRORS,
+    Response,
+    ResponseReader,
+    render_request,
+)
 
-OK = 200
 _READ_BYTES = 65536
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 # Limit for one request; all requests that this server answers are shorter.
 _MAX_REQUEST_BYTES = 16384
-# Limit for one response: 40 pages of a listing, or all entries of 3,700
-# upstreams sixteen times over.
-_MAX_RESPONSE_BYTES = 40_000_000
-
-
-# What the parser raises for bytes that are not HTTP, and for a request to go on
-# in another protocol.
-_PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 # Any process can connect and send bytes that are no request, at any rate.
 _LINES_MAX = 5
 _LINES_INTERVAL_S = 10.0
@@ -41,52 +36,6 @@
 _log = logging.getLogger(__name__)
 
 
-class MalformedAnswerError(ConnectionError):
-    """The server's response is not valid HTTP."""
-
-
-class Response(msgspec.Struct, frozen=True):
-    """An HTTP response.
-
-    Attributes:
-        status: Status code.
-        body: The body.
-        content_type: Content type of a response that is sent.
-        headers: Headers of a response that was received, by lower-case name.
-    """
-
-    status: int
-    body: bytes
-    content_type: bytes = b'text/plain'
-    headers: dict[bytes, bytes] = {}
-
-
-class _ResponseEvents:
-    """Collects one response from the callbacks of the parser."""
-
-    def __init__(self) -> None:
-        self.chunks: list[bytes] = []
-        self.headers: dict[bytes, bytes] = {}
-        self.is_complete = False
-
-    def on_message_begin(self) -> None:
-        """Refuse a second response: none was asked for."""
-        if self.is_complete:
-            raise ValueError('more than one response')
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Record a header."""
-        self.headers[name.lower()] = text
-
-    def on_body(self, chunk: bytes) -> None:
-        """Append a part of the body."""
-        self.chunks.append(chunk)
-
-    def on_message_complete(self) -> None:
-        """Mark the response as complete."""
-        self.is_complete = True
-
-
 class _RequestEvents:
     """Collects the requests of a connection from the parser's callbacks."""
 
@@ -168,40 +117,17 @@
         _enable_keepalive(self._writer.get_extra_info('socket'))
 
     async def _send(self, method: str, target: str, body: bytes) -> None:
-        host = '{}:{}'.format(*self._address)
-        lines = [f'{method} {target} HTTP/1.1', f'Host: {host}']
-        if body:
-            lines.append('Content-Type: application/json')
-            lines.append(f'Content-Length: {len(body)}')
-        head = '\r\n'.join((*lines, '', '')).encode('ascii')
-        self._writer.write(head + body)
+        self._writer.write(render_request(self._address, method, target, body))
         await self._writer.drain()
 
     async def _receive(self) -> Response:
-        events = _ResponseEvents()
-        parser = httptools.HttpResponseParser(events)
-        response_bytes = 0
-        while not events.is_complete:
-            received = await self._reader.read(_READ_BYTES)
-            if not received:
-                raise ConnectionResetError(
-                    'closed before the response was complete'
-                )
-            response_bytes += len(received)
-            if response_bytes > _MAX_RESPONSE_BYTES:
-                raise MalformedAnswerError('response too large')
-            _feed_response(parser, received)
-        status_code = parser.get_status_code()
-        if status_code < OK:
-            # The final response would be taken for that to the next request.
-            raise MalformedAnswerError(f'interim status {status_code}')
-        if not parser.should_keep_alive():
+        response_reader = ResponseReader()
+        while not response_reader.is_complete:
+            response_reader.feed(await self._reader.read(_READ_BYTES))
+        response = response_reader.response()
+        if not response_reader.should_keep_alive:
             self.close()
-        return Response(
-            status_code,
-            b''.join(events.chunks),
-            headers=events.headers,
-        )
+        return response
 
 
 class Server:
@@ -244,7 +170,7 @@
         except OSError:
             # The client closed the connection, as it may at any time.
             pass
-        except _PARSER_ERRORS as error:
+        except PARSER_ERRORS as error:
             self._record_unreadable(writer, error)
         except Exception as error:
             self._errors.record('answering a request', error)
@@ -300,16 +226,6 @@
         return head.encode('ascii') + response.body
 
 
-def _feed_response(
-    parser: httptools.HttpResponseParser, received: bytes
-) -> None:
-    try:
-        parser.feed_data(received)
-    except _PARSER_ERRORS as error:
-        reason = str(error) or type(error).__name__
-        raise MalformedAnswerError(reason) from error
-
-
 def _enable_keepalive(client_socket: socket.socket) -> None:
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/packages/token/src/hibiscushatch_token/knowledge/publisher.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/publisher.py
@@ -29,8 +29,8 @@
 import msgspec
 
 from hibiscushatch_core.ports import WatchEvent
-from hibiscushatch_token import http1
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
+from hibiscushatch_token.http_messages import OK, Response
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import NO_POSITION, Changes, Position
@@ -218,7 +218,7 @@
             position = self._replica.position
             self.send_update(self._subscribers, position, Changes((), position))
 
-    def respond_to_catch_up(self, query: bytes) -> http1.Response:
+    def respond_to_catch_up(self, query: bytes) -> Response:
         """Respond to a reader that requests the changes it is missing.
 
         Args:
@@ -232,8 +232,8 @@
             deletions.
         """
         message = self._build_catch_up(peer_messages.parse_query(query))
-        return http1.Response(
-            http1.OK,
+        return Response(
+            OK,
             peer_messages.encode(message),
             b'application/octet-stream',
         )
--- a/packages/token/src/hibiscushatch_token/metrics.py
+++ b/packages/token/src/hibiscushatch_token/metrics.py
@@ -10,7 +10,7 @@
 
 from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.metrics import PREFIX, CounterMetrics, GaugeReading
-from hibiscushatch_token import http1
+from hibiscushatch_token.http_messages import OK, Response
 from hibiscushatch_token.ports import FlowObserver
 from hibiscushatch_token.status import Status
 
@@ -46,12 +46,12 @@
         """Record how long a flow lasted that its caller has ended."""
         self._flow_seconds.observe({}, seconds)
 
-    def respond(self, counters: Counters, vm_status: Status) -> http1.Response:
+    def respond(self, counters: Counters, vm_status: Status) -> Response:
         """Render all metrics as an HTTP response."""
         gauges = _read_gauges(vm_status)
         body, headers = self.render_all(counters, gauges, ())
         content_type = headers['Content-Type'].encode()
-        return http1.Response(http1.OK, body, content_type)
+        return Response(OK, body, content_type)
 
 
 def _read_gauges(vm_status: Status) -> Iterator[GaugeReading]:
--- a/packages/token/src/hibiscushatch_token/status.py
+++ b/packages/token/src/hibiscushatch_token/status.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hibiscushatch_token import http1
+from hibiscushatch_token.http_messages import OK, Response
 
 STATUS_PATH = b'/v1/status'
 
@@ -77,7 +77,7 @@
     withheld_upstreams: list[str] = []
 
 
-def respond(status: Status) -> http1.Response:
+def respond(status: Status) -> Response:
     """Encode a status as an HTTP response."""
     body = msgspec.json.encode(status)
-    return http1.Response(http1.OK, body, b'application/json')
+    return Response(OK, body, b'application/json')
