Handle the first packets before asyncio is imported

From power-on to the first packet, a start imported everything: asyncio and the control plane, which forwarding does not need, are half of it. Now the launcher requests a listing of the store as soon as it has read the settings, imports the packet path while the store answers, handles the packets that wait, and imports the rest in steps, between which packets are handled. The event loop takes over the data plane as it is then and goes on with a watch.

Taking apart Replication and the replica changes how publishers_disagree_test builds them, nothing that it checks.

--- a/packages/core/src/hibiscushatch_core/udp_socket.py
+++ b/packages/core/src/hibiscushatch_core/udp_socket.py
@@ -1,12 +1,8 @@
-"""Opens UDP sockets.
-
-A module of its own, without asyncio, so that a process can bind its socket
-before it imports the rest: what arrives meanwhile waits in the socket.
-"""
+"""Opens UDP sockets."""
 
 import socket
 
-SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+from hibiscushatch_core.udp_descriptor import bind_udp_descriptor
 
 
 def open_udp_socket(address: tuple[str, int]) -> socket.socket:
@@ -21,13 +17,11 @@
     Raises:
         OSError: If the address can't be bound.
     """
-    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        udp_socket.bind(address)
-    except OSError:
-        udp_socket.close()
-        raise
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        udp_socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+    return adopt_udp_descriptor(bind_udp_descriptor(address))
+
+
+def adopt_udp_descriptor(descriptor: int) -> socket.socket:
+    """Return a bound UDP socket of a descriptor, as a non-blocking one."""
+    udp_socket = socket.socket(fileno=descriptor)
     udp_socket.setblocking(False)
     return udp_socket
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -2,31 +2,27 @@
 
 import asyncio
 import logging
-import random
 import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from typing import TYPE_CHECKING
 
 from hibiscushatch_core.background_tasks import keep_running
-from hibiscushatch_core.counters import Counters
 from hibiscushatch_core.errors import InvalidDocumentError
 from hibiscushatch_core.listening import listen_when_free
 from hibiscushatch_core.udp_receiver import UdpReceiver
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
 from hibiscushatch_token import http1, status
-from hibiscushatch_token.caller_socket import CallerSocket, estimate_waits
-from hibiscushatch_token.environment import Environment
+from hibiscushatch_token.data_plane import DataPlane
 from hibiscushatch_token.health.partition import PartitionDetector
 from hibiscushatch_token.http_messages import OK, Response
 from hibiscushatch_token.knowledge.replication import Replication
-from hibiscushatch_token.ports import Documents, PacketCodec, Store
+from hibiscushatch_token.ports import Store
 from hibiscushatch_token.settings import (
     TokenNodeSettings,
     changed_fields,
     socket_address,
 )
-from hibiscushatch_token.traffic.packet_path import PacketPath
 
 if TYPE_CHECKING:
     from hibiscushatch_token.metrics import TokenMetrics
@@ -48,53 +44,43 @@
     """One entry VM: its sockets, servers and background tasks.
 
     Args:
-        settings: Settings of this entry VM.
-        caller_socket: The bound socket of callers' packets.
-        codec: The packet format.
+        data_plane: Forwards packets; it may have begun already.
         store: The platform's store.
-        documents: Decodes the items of the store.
         reload_settings: Reads the settings file again; raises
             InvalidDocumentError.
     """
 
     def __init__(
         self,
-        settings: TokenNodeSettings,
-        caller_socket: CallerSocket,
-        codec: PacketCodec,
+        data_plane: DataPlane,
         store: Store,
-        documents: Documents,
         reload_settings: Callable[[], TokenNodeSettings],
     ) -> None:
+        settings = data_plane.settings
         self._settings = settings
         self._reload_settings = reload_settings
         self._store = store
         self._is_ready = False
         self._is_stopping = False
-        environment = Environment(
-            codec,
-            Counters(),
-            time.monotonic,
-            random.Random(settings.random_seed),  # noqa: S311
-        )
-        self._counters = environment.counters
+        self._data_plane = data_plane
+        self._counters = data_plane.environment.counters
         self._errors = UnexpectedErrors(self._counters)
-        self._caller_socket = caller_socket
-        udp_socket = caller_socket.udp_socket
-        self._traffic = PacketPath(
-            settings, environment, udp_socket.sendto, self._count_fleet
-        )
+        self._traffic = data_plane.traffic
         self._receiver = UdpReceiver(
-            udp_socket, self._traffic.forwarder.handle, self._counters
+            data_plane.udp_socket,
+            self._traffic.forwarder.handle,
+            self._counters,
         )
         self._replication = Replication(
             settings,
             store,
-            documents,
-            self._traffic.known,
+            data_plane.replica,
             self._traffic.outliers,
-            environment,
+            data_plane.environment,
         )
+        if not data_plane.has_history:
+            self._replication.reader.list_next()
+        data_plane.count_fleet_by(self._count_fleet)
         self._partition = PartitionDetector(
             store, self._traffic.verdicts, time.monotonic
         )
@@ -197,7 +183,7 @@
     async def _start_forwarding(self) -> None:
         while not self._has_config():
             await asyncio.sleep(_POLL_INTERVAL_S)
-        self._handle_early_packets()
+        self._data_plane.forward_waiting()
         self._receiver.start()
         self._is_ready = True
         _log.info(
@@ -210,22 +196,6 @@
         )
         await self._start_operator_server()
 
-    def _handle_early_packets(self) -> None:
-        """Handle the packets that came before the entry VM was ready."""
-        waited_max_s = time.monotonic() - self._caller_socket.bound_at
-        datagrams = list(self._receiver.take_waiting())
-        for datagram, waited_s in estimate_waits(datagrams, waited_max_s):
-            self._receiver.call_guarded(
-                self._traffic.forwarder.handle_waited, datagram, waited_s
-            )
-        _log.info(
-            'early packets handled',
-            extra={
-                'packets': len(datagrams),
-                'waited_max_s': round(waited_max_s, 3),
-            },
-        )
-
     async def _start_operator_server(self) -> None:
         try:
             await self._operator_server.start()
@@ -278,12 +248,8 @@
         pause_s = _POLL_INTERVAL_S
         while True:
             await asyncio.sleep(pause_s)
-            # An answer may have arrived while this task waited to be scheduled:
-            # all waiting packets are handled before flows count as unanswered.
-            if self._is_ready and self._receiver.read_waiting():
-                pause_s = self._traffic.opener.retry_unanswered()
-                self._traffic.opener.place_late_flows()
-                self._traffic.request_watch.record_overdue()
+            if self._is_ready:
+                pause_s = self._data_plane.retry_flows() or pause_s
                 failures = self._traffic.request_watch.take_failures()
                 self._replication.failure_reporter.record_failures(failures)
 
--- a/packages/token/src/hibiscushatch_token/knowledge/replication.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/replication.py
@@ -8,7 +8,6 @@
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
-from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.peer_socket import PeerSocket
 from hibiscushatch_token.knowledge.publisher import Publisher
 from hibiscushatch_token.knowledge.reading_turn import ReadingTurn
@@ -17,7 +16,6 @@
 from hibiscushatch_token.knowledge.subscriber import SNAPSHOT_PATH, Subscriber
 from hibiscushatch_token.ports import (
     Changes,
-    Documents,
     Position,
     Store,
 )
@@ -30,8 +28,7 @@
     Args:
         settings: Settings of this entry VM.
         store: The platform's store.
-        documents: Parses the items of the store.
-        known: Receives changes of routes and upstreams.
+        replica: The replica; an earlier listing may be in it already.
         outliers: Receives the failures and ejections that peers report.
         environment: Counters, clock and randomness.
     """
@@ -40,8 +37,7 @@
         self,
         settings: TokenNodeSettings,
         store: Store,
-        documents: Documents,
-        known: KnownState,
+        replica: StoreReplica,
         outliers: OutlierDetector,
         environment: Environment,
     ) -> None:
@@ -55,14 +51,7 @@
         )
         peers = PeerSocket(udp_socket, counters)
         self.receiver = UdpReceiver(udp_socket, peers.handle, counters)
-        self.replica = StoreReplica(
-            documents,
-            known.routing,
-            known.registry,
-            clock,
-            settings.store,
-            counters,
-        )
+        self.replica = replica
         self.subscriber = Subscriber(
             settings,
             self.replica,
--- a/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/store_reader.py
@@ -82,6 +82,10 @@
         # Whether the latest read was a listing that replaced lost history.
         self._is_listing_latest = False
 
+    def list_next(self) -> None:
+        """Read all items next, as the replica may lack some."""
+        self._has_history = False
+
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
--- a/packages/token/tests/publishers_disagree_test.py
+++ b/packages/token/tests/publishers_disagree_test.py
@@ -20,6 +20,7 @@
 from hibiscushatch_token.health.outlier_detector import OutlierDetector
 from hibiscushatch_token.knowledge.known_state import KnownState
 from hibiscushatch_token.knowledge.registry import Registry
+from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.knowledge.replication import Replication
 from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.ports import Changes, Listing, Position, Store
@@ -174,15 +175,25 @@
             clock,
             random.Random(control),  # noqa: S311
         )
+        settings = fixtures.settings(
+            control=control, publishers=list(publishers)
+        )
+        replica = StoreReplica(
+            fixtures.FakeDocuments(),
+            known.routing,
+            known.registry,
+            clock,
+            settings.store,
+            environment.counters,
+        )
         with mock.patch(
             'hibiscushatch_token.knowledge.replication.open_udp_socket',
             lambda address: MemorySocket(network, address),
         ):
             self._replication = Replication(
-                fixtures.settings(control=control, publishers=list(publishers)),
+                settings,
                 network.store,
-                fixtures.FakeDocuments(),
-                known,
+                replica,
                 OutlierDetector(OutlierSettings(), known, clock),
                 environment,
             )
