Decide deferred flows again when the configuration changes

Cause: the service that was drawn from a route, its priority and the longest wait were kept while a flow was deferred, and a copy replaced the packet of a deferred flow, without a look at the configuration in force. A flow that went to a second upstream stayed counted under the priority of its first route.

Change: once the version of the configuration has changed, what depends on the routes is determined again for all deferred flows before any of them is sent. Flows without a route are refused at once. The upstream was already chosen when a flow is sent, so drains and evacuations were in force; tests show that now.

Six new tests fail without the change, five of late_flows_test and one of flow_opener_test.

--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -79,6 +79,7 @@
         self._average_answer_s = 0.0
         self._errors = UnexpectedErrors(self._counters, self._clock)
         self._late_flows = LateFlows(self._clock)
+        self._late_flows_version = 0
 
     @property
     def average_answer_s(self) -> float:
@@ -87,7 +88,9 @@
 
     def open(self, packet: FlowPacket) -> None:
         """Handle the opening packet of a flow or a copy of it."""
-        if self._late_flows.update_packet(packet):
+        is_deferred = self._late_flows.update_packet(packet)
+        self._update_late_flows()
+        if is_deferred:
             return
         now = self._clock()
         record = self._flows.get(packet.flow)
@@ -118,7 +121,11 @@
         self.place_late_flows()
 
     def place_late_flows(self) -> None:
-        """Place the late flows that have free slots or can wait no longer."""
+        """Place the late flows that have free slots or can wait no longer.
+
+        Flows whose route no longer exists are refused.
+        """
+        self._update_late_flows()
         for late in self._late_flows.take_ready(self._placement.has_free_slots):
             self._place(late.packet, late.service, (), self._clock())
             record = self._flows.get(late.packet.flow)
@@ -176,6 +183,17 @@
         """Drop flows without recent packets: their end was not seen here."""
         self._flows.drop_idle(self._clock() - self._settings.idle_s)
 
+    def _update_late_flows(self) -> None:
+        version = self._routing.config.version
+        if version == self._late_flows_version:
+            return
+        self._late_flows_version = version
+        without_route = self._late_flows.update_routes(
+            self._routing.route_of, self._placement.draw_service
+        )
+        for packet in without_route:
+            self._refuse(packet, RefusalReason.NO_ROUTE)
+
     def _place(
         self,
         packet: FlowPacket,
--- a/packages/token/src/hibiscushatch_token/traffic/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_table.py
@@ -149,6 +149,7 @@
         else:
             record.tried = record.tried_with_current
             self._reassign(record, upstream)
+            record.priority = priority
             record.placed_at = now
             record.is_failure_recorded = False
         self._start_counting(record)
--- a/packages/token/src/hibiscushatch_token/traffic/late_flows.py
+++ b/packages/token/src/hibiscushatch_token/traffic/late_flows.py
@@ -7,13 +7,17 @@
 flow waits until this entry VM has fewer flows open on the service than its
 share of the slots, but only as long as the caller still has enough time to be
 served.
+
+The configuration may change while a flow waits. Its service, its priority and
+how long it may wait are then determined again, so that no flow is placed by a
+route that is no longer in force.
 """
 
 from collections.abc import Callable, Iterator
 
 import msgspec
 
-from hibiscushatch_token.model import Route
+from hibiscushatch_token.model import Endpoint, Route
 from hibiscushatch_token.ports import FlowPacket
 
 # A flow with a smaller share of its latency target (aim) remaining will miss
@@ -34,12 +38,16 @@
         packet: Its latest opening packet.
         service: The service on which it will be placed.
         priority: Priority of its route; lower numbers are placed first.
+        began_at: When its caller sent the first opening packet.
+        deferred_at: When it was deferred.
         expires_at: When it is placed even if there are no free slots.
     """
 
     packet: FlowPacket
     service: str
     priority: int
+    began_at: float
+    deferred_at: float
     expires_at: float
 
 
@@ -59,10 +67,15 @@
 
     def add(self, packet: FlowPacket, service: str, route: Route) -> None:
         """Defer a flow."""
-        remaining_s = route.timeout_s - packet.waited_s
-        wait_s = max(0.0, min(_DEFERRAL_MAX_S, remaining_s - _RESERVE_S))
+        now = self._clock()
+        began_at = now - packet.waited_s
         self._waiting[packet.flow] = LateFlow(
-            packet, service, route.priority, self._clock() + wait_s
+            packet,
+            service,
+            route.priority,
+            began_at,
+            now,
+            _expires_at(route, began_at, now),
         )
 
     def update_packet(self, packet: FlowPacket) -> bool:
@@ -77,6 +90,30 @@
         late.packet = packet
         return True
 
+    def update_routes(
+        self,
+        route_of: Callable[[Endpoint], Route | None],
+        draw_service: Callable[[Route], str],
+    ) -> Iterator[FlowPacket]:
+        """Determine again what depends on the routes, after they have changed.
+
+        Args:
+            route_of: Returns the route in force of an endpoint.
+            draw_service: Draws a service of a route, for flows whose service
+                their route no longer names.
+
+        Yields:
+            The latest opening packets of flows without a route. These flows
+            are no longer deferred.
+        """
+        for late in tuple(self._waiting.values()):
+            route = route_of(late.packet.endpoint)
+            if route is None:
+                self.remove(late.packet.flow)
+                yield late.packet
+            else:
+                self._update_route(late, route, draw_service)
+
     def remove(self, flow: bytes) -> None:
         """Drop a flow that was ended, or continued at another entry VM."""
         self._waiting.pop(flow, None)
@@ -105,8 +142,31 @@
             else:
                 full_services.add(late.service)
 
+    def _update_route(
+        self,
+        late: LateFlow,
+        route: Route,
+        draw_service: Callable[[Route], str],
+    ) -> None:
+        if not _names(route, late.service):
+            late.service = draw_service(route)
+        late.priority = route.priority
+        late.expires_at = _expires_at(route, late.began_at, late.deferred_at)
+
 
 def is_late(packet: FlowPacket, route: Route) -> bool:
     """Return whether a flow can no longer meet its latency target."""
     remaining_s = route.aim_s - packet.waited_s
     return route.aim_s > 0 and remaining_s < route.aim_s * _AIM_SHARE_MIN
+
+
+def _names(route: Route, service: str) -> bool:
+    return any(
+        weighted.service == service and weighted.weight > 0
+        for weighted in route.services
+    )
+
+
+def _expires_at(route: Route, began_at: float, deferred_at: float) -> float:
+    latest = began_at + route.timeout_s - _RESERVE_S
+    return max(deferred_at, min(deferred_at + _DEFERRAL_MAX_S, latest))
--- a/packages/token/tests/flow_opener_test.py
+++ b/packages/token/tests/flow_opener_test.py
@@ -2,10 +2,17 @@
 
 from unittest import TestCase, mock
 
-from token_fixtures import LAST, VmHarness, upstream, vm_harness
-
-from hibiscushatch_core.reasons import RetryReason
-from hibiscushatch_token.model import Upstream
+import token_fixtures as fixtures
+from token_fixtures import (
+    LAST,
+    VmHarness,
+    apply_routes,
+    upstream,
+    vm_harness,
+)
+
+from hibiscushatch_core.reasons import RefusalReason, RetryReason
+from hibiscushatch_token.model import Route, Upstream, WeightedService
 from hibiscushatch_token.ports import FlowPacket
 
 RETRIES = RetryReason.CONNECT_UNANSWERED
@@ -115,3 +122,25 @@
     assert lines.records[0].step == 'retrying a flow'
     assert len(vm.sent) == 3
     assert not any(map(vm.flows.outstanding, names))
+
+
+# Guards against a second upstream that is chosen by what was in force when the
+# opening packet came.
+def test_a_second_upstream_is_chosen_by_the_routes_in_force() -> None:
+    vm = vm_harness(upstream('a1'), upstream('a2'))
+    vm.registry.apply('b1', upstream('b1', service='docs'), fixtures.at(2))
+    vm.open('f001')
+    apply_routes(vm, Route((WeightedService('docs', 1),), priority=2))
+    assert vm.advance(0.06) == 'b1'
+    assert vm.flows.outstanding_of_priority('booking', 0) == 0
+    assert vm.flows.outstanding_of_priority('docs', 2) == 1
+
+
+def test_an_unanswered_flow_without_a_route_is_not_sent_again() -> None:
+    vm = vm_harness(upstream('a1'), upstream('a2'))
+    vm.open('f001')
+    apply_routes(vm)
+    assert vm.advance(0.06) == ''
+    vm.clock.now += 0.14
+    assert vm.open('f001', copy=1) == 'caller'
+    assert vm.counters.refusals[RefusalReason.NO_ROUTE] == 1
--- a/packages/token/tests/late_flows_test.py
+++ b/packages/token/tests/late_flows_test.py
@@ -1,13 +1,17 @@
 """Tests of hibiscushatch_token.traffic.late_flows."""
 
+import token_fixtures as fixtures
 from token_fixtures import (
     FakeClock,
     FakeCodec,
+    VmHarness,
+    apply_routes,
     opening_packet,
     upstream,
     vm_harness,
 )
 
+from hibiscushatch_core.reasons import RefusalReason
 from hibiscushatch_token.model import Route, WeightedService
 from hibiscushatch_token.ports import FlowPacket
 from hibiscushatch_token.traffic.late_flows import LateFlows, is_late
@@ -109,3 +113,95 @@
     vm.advance(0.06)
     for name in ('a1', 'a2'):
         assert vm.reachability.verdict(upstream(name)).value == 'usable'
+
+
+def vm_with_deferred_flow(*names: str) -> VmHarness:
+    """Build an entry VM that defers the flow ``g001``, as its slots are taken.
+
+    Args:
+        names: Names of its upstreams, three slots each.
+    """
+    vm = vm_harness(*map(upstream, names))
+    for index in range(3 * len(names)):
+        flow = f'f{index:03}'
+        vm.send_after_answer(flow, vm.open(flow))
+    assert vm.open('g001', copy=1) == ''
+    vm.sent.clear()
+    return vm
+
+
+def targets(vm: VmHarness) -> list[str]:
+    """Return where packets were sent since the flow was deferred."""
+    return [target[0] for _, target in vm.sent]
+
+
+# Guards against flows of a removed route that reach an upstream long after the
+# removal is in force at this entry VM.
+def test_a_deferred_flow_is_refused_as_soon_as_its_route_is_removed() -> None:
+    vm = vm_with_deferred_flow('a1')
+    apply_routes(vm)
+    vm.clock.now += 0.05
+    vm.opener.place_late_flows()
+    assert targets(vm) == ['caller']
+    assert vm.counters.refusals[RefusalReason.NO_ROUTE] == 1
+    vm.clock.now += 0.6
+    vm.opener.place_late_flows()
+    assert targets(vm) == ['caller']
+
+
+def test_a_copy_of_a_deferred_flow_without_a_route_is_refused_once() -> None:
+    vm = vm_with_deferred_flow('a1')
+    vm.clock.now += 0.4
+    apply_routes(vm)
+    assert vm.open('g001', copy=2) == 'caller'
+    vm.clock.now += 0.6
+    vm.opener.place_late_flows()
+    assert targets(vm) == ['caller']
+
+
+def test_a_deferred_flow_goes_to_the_service_that_its_route_names_now() -> None:
+    vm = vm_with_deferred_flow('a1')
+    vm.registry.apply('b1', upstream('b1', service='docs'), fixtures.at(2))
+    docs = (WeightedService('docs', 1),)
+    apply_routes(vm, Route(docs, aim_s=0.15, timeout_s=2.5))
+    vm.opener.place_late_flows()
+    assert targets(vm) == ['b1']
+
+
+def test_a_deferred_flow_waits_by_the_priority_of_its_route_now() -> None:
+    clock = FakeClock()
+    late = LateFlows(clock)
+    routes = {
+        fixtures.ENDPOINT: Route(SERVICES, priority=2, timeout_s=2.5),
+        (fixtures.ENDPOINT[0], 444): Route(SERVICES, priority=1, timeout_s=2.5),
+    }
+    for index, endpoint in enumerate(routes):
+        packet = parse_opening_packet(f'f00{index}', 1)
+        packet.endpoint = endpoint
+        late.add(packet, 'booking', routes[endpoint])
+    routes[fixtures.ENDPOINT] = Route(SERVICES, priority=0, timeout_s=2.5)
+    assert not list(late.update_routes(routes.get, lambda _route: 'booking'))
+    assert take_ready(late, free_slots=1) == ['f000']
+
+
+def test_a_deferred_flow_waits_no_longer_than_its_route_allows_now() -> None:
+    vm = vm_with_deferred_flow('a1')
+    apply_routes(vm, Route(SERVICES, aim_s=0.15, timeout_s=1.2))
+    vm.clock.now += 0.21
+    vm.opener.place_late_flows()
+    assert targets(vm) == ['a1']
+
+
+def test_a_deferred_flow_goes_to_no_upstream_that_left_meanwhile() -> None:
+    for change in ('drain', 'evacuation'):
+        vm = vm_with_deferred_flow('a1', 'a2')
+        vm.registry.apply('a3', upstream('a3', 'there'), fixtures.at(2))
+        if change == 'drain':
+            for name in ('a1', 'a2'):
+                draining = upstream(name, is_draining=True)
+                vm.registry.apply(name, draining, fixtures.at(3))
+        else:
+            vm.routing.set_evacuated(frozenset(('here',)), fixtures.at(3))
+        vm.clock.now += 0.61
+        vm.opener.place_late_flows()
+        assert targets(vm) == ['a3'], change
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -357,6 +357,17 @@
     return harness
 
 
+def apply_routes(vm: VmHarness, *routes: Route) -> None:
+    """Put a configuration in force whose first route has the usual endpoint."""
+    host, port = ENDPOINT
+    endpoints = ((host, port + index) for index in range(len(routes)))
+    version = vm.routing.config.version + 1
+    vm.routing.apply_config(
+        RoutingConfig(version, dict(zip(endpoints, routes, strict=True)), {}),
+        at(version),
+    )
+
+
 @dataclasses.dataclass
 class ReplicaHarness:
     """A replica with the routes and the registry that it updates."""
