Play kept-open flows, heavy callers and the exchange of loads

Users now keep flows open and send one request at a time on each; callers have addresses, some ask many times more often; demand rises for one failure domain or one kind alone; upstreams are added cold; and entry VMs get the sums of the loads of all, late, in part or not at all. Packets carry the caller's address.

--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -23,6 +23,7 @@
     Attributes:
         datagram: The packet as it was received.
         flow: Addresses and ports of both ends, which identify the flow.
+        caller: Address of the caller, in the byte order of the packet.
         endpoint: Address and port to which the caller sent the packet.
         token: The affinity token that it carries; 0 for none.
         is_opening: Whether it asks for a new flow.
@@ -36,6 +37,7 @@
 
     datagram: bytes
     flow: bytes
+    caller: bytes
     endpoint: Endpoint
     token: int
     is_opening: bool
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -58,7 +58,10 @@
 
 
 class FakeCodec(PacketCodec):
-    """Packets of a flow name, a token, flags, a copy and a route index."""
+    """Packets of a flow name, a token, flags, a copy and a route index.
+
+    The first letter of the flow's name stands for the caller's address.
+    """
 
     def parse(self, datagram: bytes) -> FlowPacket | None:
         """Parse a packet."""
@@ -68,6 +71,7 @@
         return FlowPacket(
             datagram,
             flow,
+            flow[:1],
             (ENDPOINT[0], ENDPOINT[1] + route),
             token,
             bool(flags & OPENING),
--- a/packages/tools/src/hibiscushatch_tools/load_model.py
+++ b/packages/tools/src/hibiscushatch_tools/load_model.py
@@ -1,7 +1,8 @@
 """Loads that are played against the decision code of entry VMs.
 
 A load is a JSON document that describes one service: the requests of its
-callers, its upstreams and entry VMs, and the surges and faults that occur.
+callers, its upstreams and entry VMs, the exchange of loads between entry VMs,
+and the surges and faults that occur.
 """
 
 import pathlib
@@ -31,6 +32,10 @@
         worth: Worth of a request that is served within the latency target.
         late_worth: Worth of a request that is served later.
         may_repeat: Whether callers try again after an error.
+        requests_per_flow: Mean number of requests that a user sends on one
+            flow, one at a time; above 1, flows are kept open between them.
+        pause_max_s: Pause after which a flow that is kept open is not used
+            any more.
     """
 
     name: str
@@ -42,6 +47,13 @@
     worth: _PositiveFloat = 1.0
     late_worth: _NonNegativeFloat = 0.3
     may_repeat: bool = True
+    requests_per_flow: Annotated[float, msgspec.Meta(ge=1)] = 1.0
+    pause_max_s: _PositiveFloat = 8.0
+
+    @property
+    def is_kept_open(self) -> bool:
+        """Whether flows are kept open for further requests."""
+        return self.requests_per_flow > 1
 
 
 class Domain(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -51,13 +63,53 @@
         name: Name of the domain.
         entry_vms: Number of entry VMs in the domain.
         upstreams: Number of upstreams in the domain.
-        callers: Weight of the domain in the distribution of callers.
+        callers: Weight of the domain in the distribution of requests.
+        addresses: Number of addresses that the requests come from.
+        wave_phase: Offset of the domain's sine wave, as a fraction of its
+            period.
     """
 
     name: str
     entry_vms: _PositiveInt
     upstreams: _NonNegativeInt
     callers: _NonNegativeFloat = 1.0
+    addresses: _PositiveInt = 100
+    wave_phase: _Fraction = 0.0
+
+
+class HeavyCaller(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A further address that asks many times more often than others.
+
+    Attributes:
+        domain: Failure domain of the address.
+        kind: Name of the kind of its requests.
+        factor: Its request rate as a multiple of the mean request rate of an
+            address of the domain, for requests of that kind.
+        from_s: When it begins to ask.
+    """
+
+    domain: str
+    kind: str
+    factor: _PositiveFloat = 50.0
+    from_s: _NonNegativeFloat = 0.0
+
+
+class Exchange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How entry VMs learn of the load of the fleet.
+
+    Attributes:
+        is_on: Whether they learn of it at all.
+        interval_s: Time between two sums.
+        delay_s: Age of a sum when entry VMs receive it.
+        covered: Share of the entry VMs whose load the sums include.
+        until_s: Time of the last sum.
+    """
+
+    is_on: bool = True
+    interval_s: _PositiveFloat = 0.2
+    delay_s: _NonNegativeFloat = 0.5
+    covered: _Fraction = 1.0
+    until_s: _PositiveFloat = 3600.0
 
 
 class Surge(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -71,6 +123,10 @@
             ``factor`` at the end; otherwise it holds for the whole period.
         domains: Failure domains whose callers send the requests of the
             period; all domains if empty.
+        raised_domains: Failure domains whose request rate the factor applies
+            to; all domains if empty.
+        raised_kinds: Names of the kinds of requests that the factor applies
+            to; all kinds if empty.
     """
 
     from_s: _NonNegativeFloat
@@ -78,6 +134,17 @@
     factor: _PositiveFloat
     is_ramp: bool = False
     domains: tuple[str, ...] = ()
+    raised_domains: tuple[str, ...] = ()
+    raised_kinds: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        """Check that the factor applies to domains or to kinds.
+
+        Raises:
+            ValueError: If both are given; the factor would apply twice.
+        """
+        if self.raised_domains and self.raised_kinds:
+            raise ValueError('raised_domains and raised_kinds exclude another')
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -87,15 +154,17 @@
         kind: ``gone``: opening packets get no answer; ``mute``: flows are
             accepted but requests are never answered; ``errors``: requests are
             answered with an error at once; ``slow``: the work takes longer;
+            ``cold``: the upstreams are added at the start of the fault and
+            are cold, so that their work takes longer, until its end;
             ``power``: all entry VMs are off and then start without state.
         from_s: Start of the fault.
         until_s: End of the fault.
         upstreams: Number of failing upstreams, taken from the domains in turn.
         share: Share of their requests that the fault affects.
-        factor: Factor by which ``slow`` lengthens the work.
+        factor: Factor by which ``slow`` and ``cold`` lengthen the work.
     """
 
-    kind: Literal['gone', 'mute', 'errors', 'slow', 'power']
+    kind: Literal['gone', 'mute', 'errors', 'slow', 'cold', 'power']
     from_s: _NonNegativeFloat
     until_s: _PositiveFloat
     upstreams: _NonNegativeInt = 1
@@ -121,6 +190,12 @@
         wave: Amplitude of a sine wave in the request rate, as a fraction of
             that rate.
         wave_s: Period of the wave.
+        users_per_address: Number of users of an address; each keeps its own
+            flows open.
+        cold_flows_per_s: New flows per second that a cold upstream can take;
+            0 if no limit is stated.
+        heavy_callers: Addresses that ask many times more often than others.
+        exchange: How entry VMs learn of the load of the fleet.
         surges: Periods with another request rate.
         faults: Failures of upstreams and entry VMs.
     """
@@ -136,6 +211,10 @@
     work_spread: _NonNegativeFloat = 0.5
     wave: _Fraction = 0.0
     wave_s: _PositiveFloat = 11.0
+    users_per_address: _PositiveInt = 3
+    cold_flows_per_s: _NonNegativeFloat = 0.0
+    heavy_callers: tuple[HeavyCaller, ...] = ()
+    exchange: Exchange = Exchange()
     surges: tuple[Surge, ...] = ()
     faults: tuple[Fault, ...] = ()
 
--- a/packages/tools/src/hibiscushatch_tools/load_outcome.py
+++ b/packages/tools/src/hibiscushatch_tools/load_outcome.py
@@ -3,10 +3,12 @@
 import collections
 import dataclasses
 import statistics
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from hibiscushatch_tools.load_model import Load, RequestKind
 
+WINDOW_S = 2
+
 
 @dataclasses.dataclass(slots=True)
 class SimulatedRequest:
@@ -18,8 +20,12 @@
         domain: Failure domain of the caller.
         came_at: Time when the request came and its first attempt began, in
             seconds.
+        address: Address of the caller.
+        user: Number of the user among those of the address.
+        is_heavy: Whether the address is that of a heavy caller.
+        is_on_open_flow: Whether it was sent on a flow that was open already.
         attempt: Number of the current attempt, from 0.
-        upstream: Upstream that accepted the current attempt; None before.
+        flow: Number of the flow of the current attempt; 0 between attempts.
         refusals: Number of attempts that an entry VM refused.
         settled_at: Time when the request was served or had failed for good;
             None before.
@@ -30,8 +36,12 @@
     kind: RequestKind
     domain: str
     came_at: float
+    address: bytes = bytes(4)
+    user: int = 0
+    is_heavy: bool = False
+    is_on_open_flow: bool = False
     attempt: int = 0
-    upstream: str | None = None
+    flow: int = 0
     refusals: int = 0
     settled_at: float | None = None
     is_served: bool = False
@@ -72,32 +82,63 @@
         asked: Number of requests.
         worth: Earned share of the total worth of the requests.
         least_second: The lowest such share among the requests of one second.
+        least_window: The lowest such share among the requests of two seconds.
         in_aim: Share of requests that were served within the latency target.
         late: Share of requests that were served later.
         failed: Share of requests that were not served.
         refused: Share of requests that an entry VM refused at least once.
         urgent_served: Share of the requests with the highest priority that
             were served.
+        urgent_in_aim: Share of them that were served within the latency
+            target.
     """
 
     asked: int
     worth: float
     least_second: float
+    least_window: float
     in_aim: float
     late: float
     failed: float
     refused: float
     urgent_served: float
+    urgent_in_aim: float
+
+
+# Outcomes of groups are listed in this order.
+GROUPINGS: dict[str, Callable[[SimulatedRequest], str]] = {
+    'priority': lambda request: str(request.kind.priority),
+    'kind': lambda request: request.kind.name,
+    'domain': lambda request: request.domain,
+    'caller': lambda request: 'heavy' if request.is_heavy else 'other',
+    'flow': lambda request: 'open' if request.is_on_open_flow else 'new',
+    'window': lambda request: f'{_window_of(request, WINDOW_S):02}',
+}
 
 
-def summarize_judged(
+def judged_requests(
     load: Load, requests: Iterable[SimulatedRequest]
-) -> Outcome:
-    """Summarize the requests that came in the ``judged`` period of a load."""
+) -> list[SimulatedRequest]:
+    """Return the requests that came in the ``judged`` period of a load."""
     begin_s, end_s = load.judged
-    return summarize(
-        [request for request in requests if begin_s <= request.came_at < end_s]
-    )
+    return [
+        request for request in requests if begin_s <= request.came_at < end_s
+    ]
+
+
+def group_by(
+    requests: Iterable[SimulatedRequest], grouping: str
+) -> dict[str, list[SimulatedRequest]]:
+    """Return requests by the label of their group, in the order of labels.
+
+    Args:
+        requests: The requests.
+        grouping: A key of GROUPINGS.
+    """
+    groups: dict[str, list[SimulatedRequest]] = collections.defaultdict(list)
+    for request in requests:
+        groups[GROUPINGS[grouping](request)].append(request)
+    return dict(sorted(groups.items()))
 
 
 def summarize(requests: Sequence[SimulatedRequest]) -> Outcome:
@@ -106,11 +147,6 @@
     Args:
         requests: The requests, at least one.
     """
-    requests_by_second: dict[int, list[SimulatedRequest]] = (
-        collections.defaultdict(list)
-    )
-    for request in requests:
-        requests_by_second[int(request.came_at)].append(request)
     highest_priority = min(one.kind.priority for one in requests)
     urgent = [one for one in requests if one.kind.priority == highest_priority]
     count = len(requests)
@@ -119,14 +155,14 @@
     return Outcome(
         asked=count,
         worth=earned_share(requests),
-        least_second=min(
-            earned_share(one) for one in requests_by_second.values()
-        ),
+        least_second=_least_share(requests, 1),
+        least_window=_least_share(requests, WINDOW_S),
         in_aim=in_aim,
         late=served - in_aim,
         failed=1 - served,
         refused=sum(one.refusals > 0 for one in requests) / count,
         urgent_served=sum(one.is_served for one in urgent) / len(urgent),
+        urgent_in_aim=sum(one.is_in_aim for one in urgent) / len(urgent),
     )
 
 
@@ -146,3 +182,15 @@
     """Return the difference between the highest and lowest worth."""
     worths = [outcome.worth for outcome in outcomes]
     return max(worths) - min(worths)
+
+
+def _least_share(requests: Sequence[SimulatedRequest], length_s: int) -> float:
+    windows: dict[int, list[SimulatedRequest]] = collections.defaultdict(list)
+    for request in requests:
+        windows[_window_of(request, length_s)].append(request)
+    return min(earned_share(window) for window in windows.values())
+
+
+def _window_of(request: SimulatedRequest, length_s: int) -> int:
+    """Return the beginning of the period in which a request came."""
+    return int(request.came_at // length_s) * length_s
--- a/packages/tools/src/hibiscushatch_tools/plain_codec.py
+++ b/packages/tools/src/hibiscushatch_tools/plain_codec.py
@@ -19,11 +19,17 @@
 # Address to which resets are sent.
 CALLER = ('127.0.0.1', 1)
 
-_PACKET = struct.Struct('>QIBBB')
+_PACKET = struct.Struct('>QIBBB4s')
+_NO_ADDRESS = bytes(4)
 
 
 def build_packet(
-    flow: int, token: int = 0, flags: int = 0, copy: int = 0, route: int = 0
+    flow: int,
+    token: int = 0,
+    flags: int = 0,
+    copy: int = 0,
+    route: int = 0,
+    caller: bytes = _NO_ADDRESS,
 ) -> bytes:
     """Build a packet.
 
@@ -33,24 +39,27 @@
         flags: Bits of OPENING, LAST and PAYLOAD.
         copy: Number of this copy of an opening packet; 0 is the first.
         route: Number of the endpoint to which the packet is sent.
+        caller: Address of the caller, four bytes.
     """
-    return _PACKET.pack(flow, token, flags, copy, route)
+    return _PACKET.pack(flow, token, flags, copy, route, caller)
 
 
-def read_flow_number(datagram: bytes) -> int:
-    """Return the number of a packet's flow."""
-    return _PACKET.unpack(datagram)[0]
+def read_flow(datagram: bytes) -> tuple[int, int]:
+    """Return the number of a packet's flow and the packet's flags."""
+    flow, _, flags, _, _, _ = _PACKET.unpack(datagram)
+    return flow, flags
 
 
 class PlainCodec(PacketCodec):
-    """Reads packets of flow number, token, flags, copy and endpoint number."""
+    """Reads the packets that build_packet builds."""
 
     def parse(self, datagram: bytes) -> FlowPacket | None:
         """Parse a packet."""
-        flow, token, flags, copy, route = _PACKET.unpack(datagram)
+        flow, token, flags, copy, route, caller = _PACKET.unpack(datagram)
         return FlowPacket(
             datagram=datagram,
             flow=flow.to_bytes(8, 'big'),
+            caller=caller,
             endpoint=(ENDPOINT_ADDRESS, FIRST_PORT + route),
             token=token,
             is_opening=bool(flags & OPENING),
