Play starts with waiting packets and frozen entry VMs

The load player dropped every packet until entry VMs were on again, and served requests on open flows meanwhile as if nothing had happened. Packets now wait in the sockets of starting and of frozen entry VMs and are handled with estimates of their waits, and requests on open flows are sent again after 0.2, 0.4 and 0.8 s, as callers do.

--- a/packages/tools/src/hibiscushatch_tools/load_callers.py
+++ b/packages/tools/src/hibiscushatch_tools/load_callers.py
@@ -3,7 +3,7 @@
 Callers open a flow for each request, or keep flows open and send one request at
 a time on each. They repeat opening packets, and try again on a new flow when a
 flow is reset, when an upstream rejects the request, or when it is answered with
-an error and may be repeated. The loss of packets is not simulated.
+an error and may be repeated. Packets get lost only where entry VMs are off.
 """
 
 import dataclasses
@@ -29,6 +29,8 @@
 ATTEMPT_TIMEOUT_S = 1.4
 RETRIES_MAX = 2
 RETRY_DELAY_S = 0.015
+# After this time, doubled each time, a packet that got lost is sent again.
+RETRANSMIT_S = 0.2
 # Identifies the user of a flow: address, number of the user, kind.
 _UserKey = tuple[bytes, int, str]
 
@@ -224,12 +226,19 @@
                 ROUND_TRIP_S, functools.partial(self._send_request, flow)
             )
 
-    def _send_request(self, flow: _CallerFlow) -> None:
+    def _send_request(self, flow: _CallerFlow, copy: int = 0) -> None:
         vm = self._vm_of(flow)
         if vm.is_on:
             self._send_packet(flow, plain_codec.PAYLOAD)
-        elif flow.upstream is not None:
-            self._begin_work(flow, flow.upstream)
+        else:
+            self._scheduler.call_later(
+                RETRANSMIT_S * 2**copy,
+                functools.partial(self._send_request_again, flow, copy + 1),
+            )
+
+    def _send_request_again(self, flow: _CallerFlow, copy: int) -> None:
+        if flow.is_needed:
+            self._send_request(flow, copy)
 
     def _send_packet(self, flow: _CallerFlow, flags: int) -> None:
         vm = self._vm_of(flow)
--- a/packages/tools/src/hibiscushatch_tools/load_fleet.py
+++ b/packages/tools/src/hibiscushatch_tools/load_fleet.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from hibiscushatch_core.counters import Counters
+from hibiscushatch_token.caller_socket import estimate_waits
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
@@ -80,6 +81,10 @@
     ) -> None:
         self.domain = settings.domain
         self.is_on = True
+        self._clock = scheduler.clock
+        # Packets that wait for a frozen entry VM; None while it runs.
+        self._waiting: list[bytes] | None = None
+        self._frozen_at = 0.0
         self.counters = Counters()
         self._sent: list[SentPacket] = []
         environment = Environment(
@@ -92,8 +97,30 @@
             settings, environment, self._send, lambda: vm_count
         )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it is on and not frozen."""
+        return self.is_on and self._waiting is None
+
+    def freeze(self) -> None:
+        """Let packets wait from now on."""
+        self._waiting = []
+        self._frozen_at = self._clock()
+
+    def thaw(self) -> list[SentPacket]:
+        """Handle what has waited; return the packets that are sent."""
+        waited_max_s = self._clock() - self._frozen_at
+        waiting = self._waiting or []
+        self._waiting = None
+        for datagram, waited_s in estimate_waits(waiting, waited_max_s):
+            self.path.forwarder.handle_waited(datagram, waited_s)
+        return self.take_sent()
+
     def handle(self, datagram: bytes) -> list[SentPacket]:
         """Handle a packet and return the packets that are sent in response."""
+        if self._waiting is not None:
+            self._waiting.append(datagram)
+            return []
         self.path.forwarder.handle(datagram, _NO_NAME)
         return self.take_sent()
 
@@ -171,6 +198,23 @@
         for vm in self.vms:
             vm.is_on = False
 
+    def start_frozen(self) -> None:
+        """Start all entry VMs; packets wait until they are thawed."""
+        self.start()
+        self.freeze(1)
+
+    def freeze(self, share: float) -> None:
+        """Freeze a share of the entry VMs, taken evenly."""
+        for index, vm in enumerate(self.vms):
+            if int((index + 1) * share) > int(index * share):
+                vm.freeze()
+
+    def thaw(self) -> Iterator[SentPacket]:
+        """Let frozen entry VMs go on; yield the packets that they send."""
+        for vm in self.vms:
+            if not vm.is_running:
+                yield from vm.thaw()
+
     def vms_of(self, domain: str) -> list[SimulatedEntryVm]:
         """Return the entry VMs of a failure domain."""
         return self._vms_by_domain[domain]
@@ -184,7 +228,7 @@
     def poll(self) -> None:
         """Let all entry VMs check for unanswered packets and requests."""
         for vm, reporter in zip(self.vms, self._reporters, strict=True):
-            if vm.is_on:
+            if vm.is_running:
                 vm.path.opener.retry_unanswered()
                 vm.path.opener.place_late_flows()
                 vm.path.request_watch.record_overdue()
@@ -259,7 +303,7 @@
     def _sum_loads(self) -> None:
         if self._scheduler.now > self._exchange.until_s:
             return
-        covered = [vm for vm in self._covered_vms() if vm.is_on]
+        covered = [vm for vm in self._covered_vms() if vm.is_running]
         rows: LoadRows = {}
         for vm in covered:
             for key, load in vm.path.local_load.rows().items():
@@ -271,7 +315,7 @@
 
     def _deliver(self, rows: LoadRows, covered: int) -> None:
         for vm in self._fleet.vms:
-            if vm.is_on:
+            if vm.is_running:
                 vm.path.fleet_load.update(
                     rows.items(), covered, self._exchange.delay_s
                 )
--- a/packages/tools/src/hibiscushatch_tools/load_model.py
+++ b/packages/tools/src/hibiscushatch_tools/load_model.py
@@ -156,20 +156,25 @@
             answered with an error at once; ``slow``: the work takes longer;
             ``cold``: the upstreams are added at the start of the fault and
             are cold, so that their work takes longer, until its end;
-            ``power``: all entry VMs are off and then start without state.
+            ``power``: all entry VMs are off and then start without state;
+            ``frozen``: entry VMs do nothing, and then handle what has waited.
         from_s: Start of the fault.
         until_s: End of the fault.
         upstreams: Number of failing upstreams, taken from the domains in turn.
-        share: Share of their requests that the fault affects.
+        share: Share of their requests that the fault affects; of the entry VMs
+            if they are frozen.
         factor: Factor by which ``slow`` and ``cold`` lengthen the work.
+        waiting_s: Time before the end of ``power`` in which packets wait in the
+            sockets of the entry VMs, which are still starting.
     """
 
-    kind: Literal['gone', 'mute', 'errors', 'slow', 'cold', 'power']
+    kind: Literal['gone', 'mute', 'errors', 'slow', 'cold', 'power', 'frozen']
     from_s: _NonNegativeFloat
     until_s: _PositiveFloat
     upstreams: _NonNegativeInt = 1
     share: _Fraction = 1.0
     factor: _PositiveFloat = 5.0
+    waiting_s: _NonNegativeFloat = 0.0
 
 
 class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/tools/src/hibiscushatch_tools/load_player.py
+++ b/packages/tools/src/hibiscushatch_tools/load_player.py
@@ -61,7 +61,16 @@
         for fault in self.load.faults:
             if fault.kind == 'power':
                 self.scheduler.call_later(fault.from_s, self.fleet.stop)
-                self.scheduler.call_later(fault.until_s, self.fleet.start)
+                self.scheduler.call_later(
+                    fault.until_s - fault.waiting_s, self.fleet.start_frozen
+                )
+                self.scheduler.call_later(fault.until_s, self._thaw)
+            elif fault.kind == 'frozen':
+                self.scheduler.call_later(
+                    fault.from_s,
+                    functools.partial(self.fleet.freeze, fault.share),
+                )
+                self.scheduler.call_later(fault.until_s, self._thaw)
             elif fault.kind == 'cold':
                 self.scheduler.call_later(
                     fault.from_s, self.fleet.add_cold_upstreams
@@ -77,6 +86,9 @@
         self.scheduler.run(self.load.length_s)
         return self.requests
 
+    def _thaw(self) -> None:
+        self._callers.deliver(self.fleet.thaw())
+
     def _send_next_request(self) -> None:
         now = self.scheduler.now
         interval_s = self._demand.draw_interval_s(now)
--- a/packages/tools/src/hibiscushatch_tools/load_serving.py
+++ b/packages/tools/src/hibiscushatch_tools/load_serving.py
@@ -12,6 +12,8 @@
 # Time until an upstream answers with an error; that takes hardly any work.
 ERROR_DELAY_S = 0.001
 _SLOW_KINDS = ('slow', 'cold')
+# Faults that affect no upstream.
+_ENTRY_VM_KINDS = ('power', 'frozen')
 
 
 class Answer(enum.Enum):
@@ -83,7 +85,7 @@
         now = self._scheduler.now
         for fault in self._load.faults:
             names = self._names[: fault.upstreams]
-            is_affected = fault.kind != 'power' and name in names
+            is_affected = fault.kind not in _ENTRY_VM_KINDS and name in names
             if is_affected and fault.from_s <= now < fault.until_s:
                 is_picked = fault.share >= self._randomness.random()
                 return fault if is_picked else None
