Handle packets that waited by the time their callers have left

After a start or a freeze, waiting packets were handled in the order in which they came, and deferred flows in that order within a priority. Now those that can still be served in time go first, urgent ones first, then by the time left; then the others likewise. Packets of one flow keep their order. Whether slots are scarce for deferred flows follows from the sums over the fleet while these are fresh (each entry VM takes its share of the free slots), and from this entry VM's share of all slots otherwise. The section backlog of the settings switches the order off and sets the bound.

--- a/packages/token/src/hibiscushatch_token/data_plane.py
+++ b/packages/token/src/hibiscushatch_token/data_plane.py
@@ -103,10 +103,7 @@
         waited_max_s = now - self._emptied_at
         datagrams = list(self.reader.take_waiting())
         self._emptied_at = now
-        for datagram, waited_s in estimate_waits(datagrams, waited_max_s):
-            self.reader.call_guarded(
-                self.traffic.forwarder.handle_waited, datagram, waited_s
-            )
+        self.traffic.backlog.handle(estimate_waits(datagrams, waited_max_s))
         if not self._is_forwarding:
             self._is_forwarding = True
             _log.info(
--- a/packages/token/src/hibiscushatch_token/knowledge/known_state.py
+++ b/packages/token/src/hibiscushatch_token/knowledge/known_state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hibiscushatch_token.knowledge.fleet_load import FleetLoad
 from hibiscushatch_token.knowledge.registry import Registry
 from hibiscushatch_token.knowledge.routing import Routing
 
@@ -15,8 +16,10 @@
         routing: The routes in force and the evacuated failure domains.
         registry: The upstreams.
         count_fleet: Returns the number of entry VMs; 0 when unknown.
+        fleet_load: Sums of the load over the fleet; None if there are none.
     """
 
     routing: Routing
     registry: Registry
     count_fleet: Callable[[], int]
+    fleet_load: FleetLoad | None = None
--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -46,6 +46,11 @@
     has_payload: bool
     is_last: bool
 
+    @property
+    def is_request(self) -> bool:
+        """Whether it asks for a flow or carries a part of a request."""
+        return self.is_opening or (self.has_payload and not self.is_last)
+
 
 class FlowObserver(abc.ABC):
     """Receives the durations of flows."""
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -220,6 +220,22 @@
     rows_max: _Count = 32
 
 
+class BacklogSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """How requests that waited at an interruption are served.
+
+    Attributes:
+        is_ordered: Whether packets that waited are handled by the time that
+            their callers have left rather than in the order they arrived.
+        requests_per_slot: Requests under way per slot of a service from which
+            its slots count as scarce, by the sums over the fleet.
+    """
+
+    is_ordered: bool = True
+    requests_per_slot: _UpToHundred = 1.0
+
+
 class TokenNodeSettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -241,6 +257,7 @@
         outliers: When an upstream is ejected whose requests fail.
         admission: When new flows of an overloaded service are refused.
         load: How entry VMs tell each other their load.
+        backlog: How requests that waited at an interruption are served.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time in which the fabric stops sending packets once the
             readiness check fails: two checks, at two checks a second, and
@@ -267,6 +284,7 @@
     outliers: OutlierSettings = OutlierSettings()
     admission: AdmissionSettings = AdmissionSettings()
     load: LoadSettings = LoadSettings()
+    backlog: BacklogSettings = BacklogSettings()
     stop_grace_s: _Seconds = 6.0
     rotation_s: _Seconds = 1.4
     flow_age_max_s: _Seconds = 60.0
--- a/packages/token/src/hibiscushatch_token/traffic/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/traffic/forwarder.py
@@ -67,6 +67,17 @@
     def handle_waited(self, datagram: bytes, waited_s: float) -> None:
         """Handle a datagram that has waited in the socket.
 
+        Args:
+            datagram: The datagram.
+            waited_s: How long it has waited.
+        """
+        packet = self.parse(datagram, waited_s)
+        if packet is not None:
+            self.handle_packet(packet)
+
+    def parse(self, datagram: bytes, waited_s: float) -> FlowPacket | None:
+        """Parse and count a datagram; None if it is too short.
+
         Args:
             datagram: The datagram.
             waited_s: How long it has waited.
@@ -75,8 +86,12 @@
         packet = self._codec.parse(datagram)
         if packet is None:
             self._counters.drops[DropReason.TRUNCATED] += 1
-            return
+            return None
         packet.waited_s += waited_s
+        return packet
+
+    def handle_packet(self, packet: FlowPacket) -> None:
+        """Forward one packet, answer it with a reset, or drop it."""
         if packet.is_opening:
             self._opener.open(packet)
         else:
--- a/packages/token/src/hibiscushatch_token/traffic/late_flows.py
+++ b/packages/token/src/hibiscushatch_token/traffic/late_flows.py
@@ -40,6 +40,7 @@
         priority: Priority of its route; lower numbers are placed first.
         began_at: When its caller sent the first opening packet.
         deferred_at: When it was deferred.
+        ends_at: When its caller gives up.
         expires_at: When it is placed even if there are no free slots.
     """
 
@@ -48,6 +49,7 @@
     priority: int
     began_at: float
     deferred_at: float
+    ends_at: float
     expires_at: float
 
 
@@ -75,6 +77,7 @@
             route.priority,
             began_at,
             now,
+            began_at + route.timeout_s,
             _expires_at(route, began_at, now),
         )
 
@@ -130,7 +133,7 @@
         """
         now = self._clock()
         full_services: set[str] = set()
-        ordered = sorted(self._waiting.values(), key=lambda late: late.priority)
+        ordered = sorted(self._waiting.values(), key=_rank)
         for late in ordered:
             is_due = late.expires_at <= now
             if is_due or (
@@ -151,9 +154,14 @@
         if not _names(route, late.service):
             late.service = draw_service(route)
         late.priority = route.priority
+        late.ends_at = late.began_at + route.timeout_s
         late.expires_at = _expires_at(route, late.began_at, late.deferred_at)
 
 
+def _rank(late: LateFlow) -> tuple[int, float]:
+    return (late.priority, late.ends_at)
+
+
 def is_late(packet: FlowPacket, route: Route) -> bool:
     """Return whether a flow can no longer meet its latency target."""
     remaining_s = route.aim_s - packet.waited_s
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -16,6 +16,7 @@
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.settings import TokenNodeSettings
 from hibiscushatch_token.traffic.admission import Admission
+from hibiscushatch_token.traffic.backlog import Backlog
 from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowTable
@@ -46,10 +47,12 @@
         registry = Registry(
             clock, settings.flow_age_max_s, self._forget_upstream
         )
-        self.known = KnownState(Routing(), registry, count_fleet)
+        self.fleet_load = FleetLoad(settings.load.fresh_s, clock, count_fleet)
+        self.known = KnownState(
+            Routing(), registry, count_fleet, self.fleet_load
+        )
         self.flows = FlowTable()
         self.local_load = LocalLoad(settings, clock, self.flows)
-        self.fleet_load = FleetLoad(settings.load.fresh_s, clock, count_fleet)
         self.reachability = Reachability(environment.randomness)
         self.response_times = ResponseTimes(clock)
         self.outliers = OutlierDetector(settings.outliers, self.known, clock)
@@ -103,6 +106,10 @@
             packet_exit,
         )
 
+        self.backlog = Backlog(
+            settings.backlog, environment, self.known.routing, self.forwarder
+        )
+
     def upstreams(self) -> Iterator[status.UpstreamStatus]:
         """Yield the state of each listed upstream."""
         registry = self.known.registry
--- a/packages/token/src/hibiscushatch_token/traffic/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -20,6 +20,7 @@
 from hibiscushatch_token.traffic.admission import Admission, Refusal
 from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
 from hibiscushatch_token.traffic.flow_table import FlowTable
+from hibiscushatch_token.traffic.free_slots import FreeSlots
 from hibiscushatch_token.traffic.moving_average import MovingAverage
 from hibiscushatch_token.traffic.upstream_pool import UpstreamPool
 
@@ -78,20 +79,15 @@
         self._clock = environment.clock
         self._randomness = environment.randomness
         self._pools: dict[str, _ServicePool] = {}
+        self._free_slots = FreeSlots(
+            settings.backlog, environment, known, flows
+        )
 
     def has_free_slots(self, service: str) -> bool:
-        """Return whether this entry VM uses less than its share of the slots.
-
-        While the number of entry VMs is not known, as after a start, its share
-        is a single flow.
-        """
+        """Return whether slots are left here for flows that can wait."""
         pool = self._pool_of(service).pool
         answering = self._verdicts.without_dead(pool.upstreams)
-        slots = sum(upstream.slots for upstream in answering)
-        open_here = sum(
-            self._flows.outstanding(upstream.name) for upstream in answering
-        )
-        return open_here < max(1, self._own_share_of(slots))
+        return self._free_slots.are_left(service, answering)
 
     def record_demand(self, service: str, route: Route) -> None:
         """Count a new flow that a caller asked for, admitted or not."""
--- a/packages/tools/src/hibiscushatch_tools/load_fleet.py
+++ b/packages/tools/src/hibiscushatch_tools/load_fleet.py
@@ -112,8 +112,7 @@
         waited_max_s = self._clock() - self._frozen_at
         waiting = self._waiting or []
         self._waiting = None
-        for datagram, waited_s in estimate_waits(waiting, waited_max_s):
-            self.path.forwarder.handle_waited(datagram, waited_s)
+        self.path.backlog.handle(estimate_waits(waiting, waited_max_s))
         return self.take_sent()
 
     def handle(self, datagram: bytes) -> list[SentPacket]:
