Hold late requests on open flows back, and notice a freeze

A process that was frozen took the packets it found for new ones. The program now notices that it did not run for 0.25 s and handles what waited as a backlog, as after a start. Late requests on open flows in a backlog wait while slots are scarce, for at most a quarter of their latency target; their flow keeps its upstream, its packets keep their order, and its end releases them.

Sums over the fleet count from 0.3 s after an interruption, since earlier ones show slots as free that the backlog will take; and where they show none free, no deferred flow is placed until it can wait no longer.

Deferred flows keep the order of arrival within a priority.

--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -10,7 +10,6 @@
 from hibiscushatch_core.background_tasks import keep_running
 from hibiscushatch_core.errors import InvalidDocumentError
 from hibiscushatch_core.listening import listen_when_free
-from hibiscushatch_core.udp_receiver import UdpReceiver
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
 from hibiscushatch_token import http1, status
 from hibiscushatch_token.data_plane import DataPlane
@@ -66,11 +65,6 @@
         self._counters = data_plane.environment.counters
         self._errors = UnexpectedErrors(self._counters)
         self._traffic = data_plane.traffic
-        self._receiver = UdpReceiver(
-            data_plane.udp_socket,
-            self._traffic.forwarder.handle,
-            self._counters,
-        )
         self._replication = Replication(
             settings,
             store,
@@ -160,7 +154,7 @@
         await asyncio.sleep(min(settings.rotation_s, settings.stop_grace_s / 2))
 
     async def _close(self) -> None:
-        self._receiver.stop()
+        asyncio.get_running_loop().remove_reader(self._data_plane.udp_socket)
         self._replication.receiver.stop()
         self._replication.server.close()
         self._readiness_server.close()
@@ -184,7 +178,9 @@
         while not self._has_config():
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._data_plane.forward_waiting()
-        self._receiver.start()
+        asyncio.get_running_loop().add_reader(
+            self._data_plane.udp_socket, self._data_plane.read_waiting
+        )
         self._is_ready = True
         _log.info(
             'ready',
@@ -258,6 +254,8 @@
         last_expiry_at = loop.time()
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
+            if self._is_ready:
+                self._data_plane.record_running()
             due = [
                 self._replication.replica.expire,
                 self._traffic.opener.drop_idle,
--- a/packages/token/src/hibiscushatch_token/data_plane.py
+++ b/packages/token/src/hibiscushatch_token/data_plane.py
@@ -19,6 +19,7 @@
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Documents, Listing, PacketCodec
 from hibiscushatch_token.settings import TokenNodeSettings
+from hibiscushatch_token.traffic.freeze_detector import FreezeDetector
 from hibiscushatch_token.traffic.packet_path import PacketPath
 
 _log = logging.getLogger(__name__)
@@ -69,6 +70,9 @@
         )
         self._errors = UnexpectedErrors(counters)
         self._emptied_at = caller_socket.bound_at
+        self._freezes = FreezeDetector(
+            settings.backlog.freeze_s, time.monotonic
+        )
         self._is_forwarding = False
 
     def count_fleet(self) -> int:
@@ -99,22 +103,38 @@
         """
         if not self.replica.has_config:
             return
-        now = time.monotonic()
-        waited_max_s = now - self._emptied_at
-        datagrams = list(self.reader.take_waiting())
-        self._emptied_at = now
-        self.traffic.backlog.handle(estimate_waits(datagrams, waited_max_s))
+        self._freezes.record_running()
+        waited_max_s = time.monotonic() - self._emptied_at
+        packets = self._handle_backlog(waited_max_s)
         if not self._is_forwarding:
             self._is_forwarding = True
             _log.info(
                 'early packets handled',
                 extra={
-                    'packets': len(datagrams),
+                    'packets': packets,
                     'waited_max_s': round(waited_max_s, 3),
                 },
             )
         self._errors.guard('retrying flows', self.retry_flows)
 
+    def read_waiting(self) -> None:
+        """Handle a batch of packets; after a freeze, all that have waited."""
+        self.record_running()
+        self.reader.read_waiting()
+
+    def record_running(self) -> None:
+        """Record that the process runs, and handle what a freeze has left.
+
+        It has to be called at least ten times a second.
+        """
+        frozen_s = self._freezes.record_running()
+        if frozen_s:
+            packets = self._handle_backlog(frozen_s)
+            _log.warning(
+                'freeze has ended',
+                extra={'frozen_s': round(frozen_s, 3), 'packets': packets},
+            )
+
     def retry_flows(self) -> float | None:
         """Place again what is unanswered, and place what was deferred.
 
@@ -122,6 +142,7 @@
             Seconds until the next call is due; None if packets are waiting,
             among which answers may be.
         """
+        self.record_running()
         # An answer may have arrived since the last packet was handled: all
         # waiting packets are handled before flows count as unanswered.
         if not self.reader.read_waiting():
@@ -130,3 +151,10 @@
         self.traffic.opener.place_late_flows()
         self.traffic.request_watch.record_overdue()
         return pause_s
+
+    def _handle_backlog(self, waited_max_s: float) -> int:
+        """Handle what has waited in the socket; return how much it was."""
+        datagrams = list(self.reader.take_waiting())
+        self._emptied_at = time.monotonic()
+        self.traffic.backlog.handle(estimate_waits(datagrams, waited_max_s))
+        return len(datagrams)
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -13,6 +13,7 @@
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 _UpToHundred = Annotated[float, msgspec.Meta(ge=0, le=100)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_HoldShare = Annotated[float, msgspec.Meta(ge=0, le=0.25)]
 _Rate = Annotated[float, msgspec.Meta(gt=0, le=100_000)]
 _Count = Annotated[int, msgspec.Meta(ge=1)]
 _Address = Annotated[
@@ -230,10 +231,22 @@
             their callers have left rather than in the order they arrived.
         requests_per_slot: Requests under way per slot of a service from which
             its slots count as scarce, by the sums over the fleet.
+        settle_s: Sums count from this time after an interruption, when its
+            backlog has reached the upstreams.
+        hold_share: Share of its latency target for which a late request on an
+            open flow is held back while slots are scarce; 0 for never.
+        held_max: Flows that may wait before no more requests are held back.
+        freeze_s: A process that did not run for this long was frozen, and the
+            packets that it finds have waited. The program otherwise runs ten
+            times a second.
     """
 
     is_ordered: bool = True
     requests_per_slot: _UpToHundred = 1.0
+    settle_s: _Seconds = 0.3
+    hold_share: _HoldShare = 0.25
+    held_max: _Count = 2000
+    freeze_s: _Seconds = 0.25
 
 
 class TokenNodeSettings(
--- a/packages/token/src/hibiscushatch_token/traffic/backlog.py
+++ b/packages/token/src/hibiscushatch_token/traffic/backlog.py
@@ -19,6 +19,7 @@
 from hibiscushatch_token.settings import BacklogSettings
 from hibiscushatch_token.traffic.forwarder import Forwarder
 from hibiscushatch_token.traffic.late_flows import is_late
+from hibiscushatch_token.traffic.placement import Placement
 
 _STEP = 'handling a waiting packet'
 # Whether it is late, its priority, and the time it has left. A smaller rank is
@@ -35,6 +36,7 @@
         settings: Whether packets are ordered.
         environment: Counters and clock.
         routing: The routes in force.
+        placement: Learns of the interruption.
         forwarder: Handles single packets.
     """
 
@@ -43,10 +45,12 @@
         settings: BacklogSettings,
         environment: Environment,
         routing: Routing,
+        placement: Placement,
         forwarder: Forwarder,
     ) -> None:
         self._settings = settings
         self._routing = routing
+        self._placement = placement
         self._forwarder = forwarder
         self._errors = UnexpectedErrors(environment.counters, environment.clock)
 
@@ -60,6 +64,8 @@
         packets: list[FlowPacket] = []
         for datagram, waited_s in waiting:
             self._errors.guard(_STEP, self._parse, datagram, waited_s, packets)
+        if packets:
+            self._placement.record_interruption()
         if self._settings.is_ordered:
             packets = list(order_packets(packets, self._routing))
         for packet in packets:
--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -10,6 +10,7 @@
 """
 
 import logging
+from collections.abc import Callable
 
 import msgspec
 
@@ -78,8 +79,9 @@
         self._retry_budget = RetryBudget(_RETRY_BUDGET, self._clock())
         self._average_answer_s = 0.0
         self._errors = UnexpectedErrors(self._counters, self._clock)
-        self._late_flows = LateFlows(self._clock)
+        self.late_flows = LateFlows(self._clock)
         self._late_flows_version = 0
+        self._release: Callable[[FlowPacket], None] = _ignore
 
     @property
     def average_answer_s(self) -> float:
@@ -88,7 +90,7 @@
 
     def open(self, packet: FlowPacket) -> None:
         """Handle the opening packet of a flow or a copy of it."""
-        is_deferred = self._late_flows.update_packet(packet)
+        is_deferred = self.late_flows.update_packet(packet)
         self._update_late_flows()
         if is_deferred:
             return
@@ -111,9 +113,13 @@
         else:
             self._place_again(packet, service, record, now)
 
+    def release_by(self, release: Callable[[FlowPacket], None]) -> None:
+        """Set the function that sends packets of requests that waited."""
+        self._release = release
+
     def on_flow_continued(self, flow: bytes) -> None:
         """Stop deferring a flow that continued, maybe at another entry VM."""
-        self._late_flows.remove(flow)
+        self.late_flows.remove(flow)
 
     def on_flow_ended(self, flow: bytes) -> None:
         """Remove a flow that its caller ended."""
@@ -126,7 +132,11 @@
         Flows whose route no longer exists are refused.
         """
         self._update_late_flows()
-        for late in self._late_flows.take_ready(self._placement.has_free_slots):
+        for late in self.late_flows.take_ready(self._placement.has_free_slots):
+            if late.is_open:
+                for packet in (late.packet, *late.followers):
+                    self._release(packet)
+                continue
             self._place(late.packet, late.service, (), self._clock())
             record = self._flows.get(late.packet.flow)
             if record is not None:
@@ -188,7 +198,7 @@
         if version == self._late_flows_version:
             return
         self._late_flows_version = version
-        without_route = self._late_flows.update_routes(
+        without_route = self.late_flows.update_routes(
             self._routing.route_of, self._placement.draw_service
         )
         for packet in without_route:
@@ -232,14 +242,14 @@
         ):
             self._admit_or_refuse(packet, service, route, now)
             return
-        self._late_flows.add(packet, service, route)
+        self.late_flows.add(packet, service, route)
         self._counters.flows_deferred += 1
         _log.info(
             'flow deferred',
             extra={
                 'flow': self._codec.describe(packet.flow),
                 'copy': packet.copy,
-                'waiting': len(self._late_flows),
+                'waiting': len(self.late_flows),
                 'config': self._routing.config.version,
             },
         )
@@ -332,3 +342,7 @@
             },
         )
         self._reachability.record_unanswered(record.upstream, now)
+
+
+def _ignore(_packet: FlowPacket) -> None:
+    """Ignore a packet: nothing is held back before a function is set."""
--- a/packages/token/src/hibiscushatch_token/traffic/forwarder.py
+++ b/packages/token/src/hibiscushatch_token/traffic/forwarder.py
@@ -12,6 +12,7 @@
 from hibiscushatch_token.ports import FlowObserver, FlowPacket
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowRecord, FlowTable
+from hibiscushatch_token.traffic.held_requests import HeldRequests
 from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit
 
@@ -44,6 +45,8 @@
         self._routing = known.routing
         self._flows = flows
         self._opener = opener
+        opener.release_by(self._forward_by_token)
+        self._held: HeldRequests | None = None
         self._request_watch = request_watch
         self._local_load = local_load
         self._packet_exit = packet_exit
@@ -60,6 +63,10 @@
         """Set the observer that is notified of the times of flows."""
         self._observer = observer
 
+    def hold_by(self, held: HeldRequests) -> None:
+        """Set what decides which requests on open flows wait."""
+        self._held = held
+
     def handle(self, datagram: bytes, _sender: str) -> None:
         """Forward one datagram, answer it with a reset, or drop it."""
         self.handle_waited(datagram, 0)
@@ -94,8 +101,26 @@
         """Forward one packet, answer it with a reset, or drop it."""
         if packet.is_opening:
             self._opener.open(packet)
-        else:
-            self._forward_by_token(packet)
+            return
+        for one in self._take_sendable(packet):
+            self._forward_by_token(one)
+
+    def _take_sendable(self, packet: FlowPacket) -> list[FlowPacket]:
+        """Return what is to be sent now that a packet of a flow has come."""
+        if self._held is None:
+            return [packet]
+        released = self._held.follow(packet)
+        if released is not None:
+            return released
+        upstream = self._upstream_of(packet)
+        is_held = upstream is not None and self._held.hold(packet, upstream)
+        return [] if is_held else [packet]
+
+    def _upstream_of(self, packet: FlowPacket) -> Upstream | None:
+        record = self._flows.get(packet.flow)
+        if record is not None and record.is_answered:
+            return record.upstream
+        return self._registry.by_token(packet.token)
 
     def _forward_by_token(self, packet: FlowPacket) -> None:
         upstream = self._registry.by_token(packet.token)
--- a/packages/token/src/hibiscushatch_token/traffic/late_flows.py
+++ b/packages/token/src/hibiscushatch_token/traffic/late_flows.py
@@ -32,16 +32,17 @@
 
 
 class LateFlow(msgspec.Struct):
-    """A deferred flow.
+    """A deferred flow, or an open flow whose request waits.
 
     Attributes:
-        packet: Its latest opening packet.
+        packet: Its latest opening packet, or the first one of the request.
         service: The service on which it will be placed.
         priority: Priority of its route; lower numbers are placed first.
         began_at: When its caller sent the first opening packet.
         deferred_at: When it was deferred.
-        ends_at: When its caller gives up.
         expires_at: When it is placed even if there are no free slots.
+        is_open: Whether it is open already.
+        followers: Further packets of the request, in order.
     """
 
     packet: FlowPacket
@@ -49,13 +50,19 @@
     priority: int
     began_at: float
     deferred_at: float
-    ends_at: float
     expires_at: float
+    is_open: bool = False
+    followers: list[FlowPacket] = []
 
 
 class LateFlows:
     """The deferred flows, in the order in which they came.
 
+    Within a priority they are placed in that order; those of a backlog were put
+    in order before (backlog). Ordering all of them by the time that their
+    callers have left served more callers at last, and fewer in time
+    (docs/design/0014).
+
     Args:
         clock: Monotonic seconds.
     """
@@ -77,10 +84,30 @@
             route.priority,
             began_at,
             now,
-            began_at + route.timeout_s,
             _expires_at(route, began_at, now),
         )
 
+    def add_request(
+        self, packet: FlowPacket, service: str, route: Route, wait_s: float
+    ) -> None:
+        """Let the request of an open flow wait for a time at most."""
+        now = self._clock()
+        began_at = now - packet.waited_s
+        self._waiting[packet.flow] = LateFlow(
+            packet,
+            service,
+            route.priority,
+            began_at,
+            now,
+            now + wait_s,
+            is_open=True,
+        )
+
+    def request_of(self, flow: bytes) -> LateFlow | None:
+        """Return the waiting request of an open flow."""
+        late = self._waiting.get(flow)
+        return late if late is not None and late.is_open else None
+
     def update_packet(self, packet: FlowPacket) -> bool:
         """Replace the opening packet of a deferred flow by a newer copy.
 
@@ -88,7 +115,7 @@
             Whether the flow is deferred.
         """
         late = self._waiting.get(packet.flow)
-        if late is None:
+        if late is None or late.is_open:
             return False
         late.packet = packet
         return True
@@ -111,6 +138,9 @@
         """
         for late in tuple(self._waiting.values()):
             route = route_of(late.packet.endpoint)
+            if late.is_open:
+                # An open flow keeps its upstream and is never refused.
+                continue
             if route is None:
                 self.remove(late.packet.flow)
                 yield late.packet
@@ -133,7 +163,7 @@
         """
         now = self._clock()
         full_services: set[str] = set()
-        ordered = sorted(self._waiting.values(), key=_rank)
+        ordered = sorted(self._waiting.values(), key=lambda late: late.priority)
         for late in ordered:
             is_due = late.expires_at <= now
             if is_due or (
@@ -154,14 +184,9 @@
         if not _names(route, late.service):
             late.service = draw_service(route)
         late.priority = route.priority
-        late.ends_at = late.began_at + route.timeout_s
         late.expires_at = _expires_at(route, late.began_at, late.deferred_at)
 
 
-def _rank(late: LateFlow) -> tuple[int, float]:
-    return (late.priority, late.ends_at)
-
-
 def is_late(packet: FlowPacket, route: Route) -> bool:
     """Return whether a flow can no longer meet its latency target."""
     remaining_s = route.aim_s - packet.waited_s
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -21,6 +21,7 @@
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowTable
 from hibiscushatch_token.traffic.forwarder import Forwarder
+from hibiscushatch_token.traffic.held_requests import HeldRequests
 from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit, SendDatagram
 from hibiscushatch_token.traffic.placement import Placement
@@ -106,8 +107,21 @@
             packet_exit,
         )
 
+        self.forwarder.hold_by(
+            HeldRequests(
+                settings.backlog,
+                self.known.routing,
+                self.flows,
+                self.placement,
+                self.opener.late_flows,
+            )
+        )
         self.backlog = Backlog(
-            settings.backlog, environment, self.known.routing, self.forwarder
+            settings.backlog,
+            environment,
+            self.known.routing,
+            self.placement,
+            self.forwarder,
         )
 
     def upstreams(self) -> Iterator[status.UpstreamStatus]:
--- a/packages/token/src/hibiscushatch_token/traffic/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -89,6 +89,10 @@
         answering = self._verdicts.without_dead(pool.upstreams)
         return self._free_slots.are_left(service, answering)
 
+    def record_interruption(self) -> None:
+        """Record that the backlog of an interruption is handled now."""
+        self._free_slots.record_interruption()
+
     def record_demand(self, service: str, route: Route) -> None:
         """Count a new flow that a caller asked for, admitted or not."""
         self._admission.record_demand(service, route)
--- a/packages/token/tests/backlog_order_test.py
+++ b/packages/token/tests/backlog_order_test.py
@@ -137,7 +137,7 @@
 
 def test_doubled_packets_place_a_flow_once() -> None:
     vm = vm_harness(upstream('a1'), clock=FakeClock())
-    vm.backlog.handle([(datagram('f001'), 0.2)] * 3)
+    vm.backlog.handle([(datagram('f001'), 0.2) for _ in range(3)])
     assert placed_flows(vm) == ['f001']
 
 
