--- a/packages/core/src/hibiscushatch_core/counters.py
+++ b/packages/core/src/hibiscushatch_core/counters.py
@@ -24,6 +24,8 @@
         packets_to_callers: Datagrams sent to callers.
         flows_placed: New flows placed on an upstream.
         flows_deferred: Late flows that had to wait before they were placed.
+        requests_held: Late requests on open flows that had to wait before they
+            were sent on.
         control_bytes_sent: Bytes of peer messages sent.
         control_bytes_received: Bytes of peer messages received.
         platform_calls: Calls to the platform's key-value service.
@@ -55,6 +57,7 @@
     packets_to_callers: int = 0
     flows_placed: int = 0
     flows_deferred: int = 0
+    requests_held: int = 0
     control_bytes_sent: int = 0
     control_bytes_received: int = 0
     platform_calls: int = 0
--- a/packages/token/src/hibiscushatch_token/traffic/held_requests.py
+++ b/packages/token/src/hibiscushatch_token/traffic/held_requests.py
@@ -11,6 +11,9 @@
 whatever happens to its route.
 """
 
+import logging
+
+from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.knowledge.routing import Routing
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.ports import FlowPacket
@@ -26,12 +29,15 @@
 # An upload has several packets. Where more come, the request is sent.
 _PACKETS_MAX = 8
 
+_log = logging.getLogger(__name__)
+
 
 class HeldRequests:
     """Decides which packets of open flows wait.
 
     Args:
         settings: How long requests wait, and how many.
+        environment: Codec and counters.
         routing: The routes in force.
         flows: Tells whether a request is under way on a flow.
         placement: Tells whether slots are free.
@@ -41,12 +47,15 @@
     def __init__(
         self,
         settings: BacklogSettings,
+        environment: Environment,
         routing: Routing,
         flows: FlowTable,
         placement: Placement,
         late_flows: LateFlows,
     ) -> None:
         self._settings = settings
+        self._codec = environment.codec
+        self._counters = environment.counters
         self._routing = routing
         self._flows = flows
         self._placement = placement
@@ -78,6 +87,16 @@
         if self._placement.has_free_slots(upstream.service):
             return False
         self._late_flows.add_request(packet, upstream.service, route, wait_s)
+        self._counters.requests_held += 1
+        _log.info(
+            'request held',
+            extra={
+                'flow': self._codec.describe(packet.flow),
+                'waited_s': round(packet.waited_s, 3),
+                'hold_s': round(wait_s, 3),
+                'waiting': len(self._late_flows),
+            },
+        )
         return True
 
     def follow(self, packet: FlowPacket) -> list[FlowPacket] | None:
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -110,6 +110,7 @@
         self.forwarder.hold_by(
             HeldRequests(
                 settings.backlog,
+                environment,
                 self.known.routing,
                 self.flows,
                 self.placement,
