Send an unanswered opening packet to the same upstream first

Cause: an opening packet without an answer for 50 ms went to another upstream. Mostly a datagram was lost, so two upstreams accepted the flow, and the late answer of the first one changed the token that the caller repeats.

Change: it goes to the same upstream once more, which repeats its answer, and to another one only if the upstream has left another flow unanswered too, may get no new flow any more, or the caller has repeated the packet, which shows that it has no answer.

--- a/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_opener.py
@@ -2,11 +2,17 @@
 
 The opening packet of a flow goes to the upstream on which the flow is placed. A
 caller sends its next packet within milliseconds of the upstream's answer. If no
-packet comes, the upstream or the path to it does not work, and the same opening
-packet goes to another upstream, well before the caller repeats it after 200 ms.
-Opening packets carry no payload and the caller continues with one upstream
-only, so no request runs twice. A flow that can be placed on no upstream is
-reset at once.
+packet comes, a datagram was lost, or the upstream or the path to it does not
+work. The opening packet is sent again, well before the caller repeats it after
+200 ms: to another upstream if this one has left another flow unanswered too,
+and to the same one otherwise. Only when the caller has repeated it, which shows
+that it has no answer, the flow moves on without such evidence. Opening packets
+carry no payload and the caller continues with one upstream only, so no request
+runs twice. A flow that can be placed on no upstream is reset at once.
+
+An upstream that answers late changes the token in the caller's packets. So that
+few flows are answered by two upstreams, the same one is tried first, and
+opening packets that waited here for long are dropped.
 """
 
 import logging
@@ -16,6 +22,7 @@
 from hibiscushatch_core.reasons import DropReason, RefusalReason, RetryReason
 from hibiscushatch_core.retry_budget import RetryBudget, RetryBudgetSettings
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
+from hibiscushatch_core.upstream_health import Verdict
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.health.reachability import Reachability
 from hibiscushatch_token.knowledge.known_state import KnownState
@@ -46,7 +53,7 @@
     """Places flows, and places them again when no answer comes.
 
     Args:
-        settings: Time after which an unanswered opening packet is retried.
+        settings: Time after which an unanswered opening packet is sent again.
         environment: Codec, counters and clock.
         known: Routes in force and upstreams.
         flows: Flows opened here.
@@ -105,13 +112,13 @@
         if route is None:
             self._refuse(packet, RefusalReason.NO_ROUTE)
             return
-        service = self._placement.draw_service(route)
         if record is None:
+            service = self._placement.draw_service(route)
             self._retry_budget.record_flow(now)
             self._placement.record_demand(service, route)
             self._admit_or_defer(packet, service, route, now)
         else:
-            self._place_again(packet, service, record, now)
+            self._place_again(packet, route, record, now)
 
     def on_flow_continued(self, flow: bytes) -> None:
         """Stop deferring a flow that continued, maybe at another entry VM."""
@@ -150,20 +157,20 @@
                 before the latest.
 
         Returns:
-            Seconds since the flow was placed last.
+            Seconds since the opening packet was sent last.
         """
         now = self._clock()
         answer_s = now - record.placed_at
         record.answer_s = answer_s
         self._flows.record_answer(record, upstream)
         self._reachability.record_answer(upstream, answer_s, now)
-        if not record.tried:
+        if not (record.tried or record.is_sent_again):
             change = answer_s - self._average_answer_s
             self._average_answer_s += change * _AVERAGE_ANSWER_WEIGHT
         return answer_s
 
     def retry_unanswered(self) -> float:
-        """Place unanswered flows again.
+        """Send the opening packets of unanswered flows again.
 
         All packets received so far must have been handled before the call.
 
@@ -260,34 +267,55 @@
         self._refuse(packet, RefusalReason.OVERLOAD, cause)
 
     def _place_again(
-        self, packet: FlowPacket, service: str, record: FlowRecord, now: float
+        self, packet: FlowPacket, route: Route, record: FlowRecord, now: float
     ) -> None:
         record.last_packet_at = now
         record.is_retried = False
+        record.is_repeated = True
         self._record_unanswered(record, now)
+        if self._may_stay(record, route) and not record.is_sent_again:
+            self._send_again(packet, record, now)
+            return
         self._counters.retries[RetryReason.CONNECT_UNANSWERED] += 1
+        service = self._placement.draw_service(route)
         self._place(packet, service, record.tried_with_current, now)
 
     def _retry_unanswered_flow(self, record: FlowRecord, now: float) -> bool:
         """Place an unanswered flow again; return whether it was placed."""
         try:
             self._record_unanswered(record, now)
-            return self._retry_other_upstream(record, now)
+            return self._retry_opening(record, now)
         except Exception as error:
             # The other flows have to be retried too.
             self._errors.record('retrying a flow', error)
             return False
 
-    def _retry_other_upstream(self, record: FlowRecord, now: float) -> bool:
+    def _retry_opening(self, record: FlowRecord, now: float) -> bool:
         opening = record.opening
         if opening is None or record.is_retried:
             return False
-        if not self._retry_budget.take(now):
-            return False
-        tried = record.tried_with_current
         route = self._routing.route_of(opening.endpoint)
         if route is None:
             return False
+        if not self._may_stay(record, route):
+            return self._retry_other_upstream(record, opening, route, now)
+        if record.is_sent_again:
+            # Without a copy, the caller may have got the answer, and its next
+            # packets may have been lost.
+            return record.is_repeated and self._retry_other_upstream(
+                record, opening, route, now
+            )
+        if not self._retry_budget.take(now):
+            return False
+        self._send_again(opening, record, now)
+        return True
+
+    def _retry_other_upstream(
+        self, record: FlowRecord, opening: FlowPacket, route: Route, now: float
+    ) -> bool:
+        if not self._retry_budget.take(now):
+            return False
+        tried = record.tried_with_current
         service = self._placement.draw_service(route)
         upstream = self._placement.choose_other(service, tried)
         if upstream is None:
@@ -297,6 +325,33 @@
         self._send(opening, upstream, tried, now)
         return True
 
+    def _may_stay(self, record: FlowRecord, route: Route) -> bool:
+        """Return whether an unanswered flow may stay on its upstream.
+
+        One unanswered opening packet makes an upstream suspect. If it is dead,
+        it has left that of another flow unanswered too.
+        """
+        verdict = self._reachability.verdict(record.upstream)
+        return verdict is not Verdict.DEAD and self._placement.may_keep(
+            record.upstream, route
+        )
+
+    def _send_again(
+        self, packet: FlowPacket, record: FlowRecord, now: float
+    ) -> None:
+        self._counters.retries[RetryReason.CONNECT_UNANSWERED] += 1
+        self._flows.record_sent_again(record, now)
+        _log.info(
+            'flow sent again',
+            extra={
+                'flow': self._codec.describe(packet.flow),
+                'copy': packet.copy,
+                'upstream': record.upstream.name,
+                'config': self._routing.config.version,
+            },
+        )
+        self._packet_exit.forward(packet, record.upstream)
+
     def _send(
         self,
         packet: FlowPacket,
--- a/packages/token/src/hibiscushatch_token/traffic/flow_table.py
+++ b/packages/token/src/hibiscushatch_token/traffic/flow_table.py
@@ -15,6 +15,9 @@
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.ports import FlowPacket
 
+# A caller may continue a flow up to 1.4 s after its first opening packet.
+_OPENING_S = 1.4
+
 
 class FlowRecord:
     """What is known of one flow.
@@ -36,6 +39,10 @@
         is_outstanding: Whether the flow counts as outstanding.
         is_retried: Whether the flow was placed again since the caller's latest
             packet.
+        is_sent_again: Whether its opening packet was sent to its upstream more
+            than once.
+        is_repeated: Whether the caller has repeated its opening packet since
+            the flow was placed on its upstream.
         is_failure_recorded: Whether the missing answer of its upstream has been
             counted.
         tried: Names of upstreams that did not answer.
@@ -53,6 +60,8 @@
         'is_answered',
         'is_outstanding',
         'is_retried',
+        'is_sent_again',
+        'is_repeated',
         'is_failure_recorded',
         'tried',
         'answer_s',
@@ -76,6 +85,8 @@
         self.is_answered = False
         self.is_outstanding = False
         self.is_retried = False
+        self.is_sent_again = False
+        self.is_repeated = False
         self.is_failure_recorded = False
         self.tried: tuple[str, ...] = ()
         self.answer_s = 0.0
@@ -151,11 +162,21 @@
             self._reassign(record, upstream)
             record.priority = priority
             record.placed_at = now
+            record.is_sent_again = False
+            record.is_repeated = False
             record.is_failure_recorded = False
         self._start_counting(record)
         self._unanswered.pop(opening.flow, None)
         self._unanswered[opening.flow] = record
 
+    def record_sent_again(self, record: FlowRecord, now: float) -> None:
+        """Record that an opening packet was sent to its upstream again."""
+        self.stop_counting(record)
+        record.placed_at = now
+        record.is_sent_again = True
+        self._start_counting(record)
+        self._unanswered[record.flow] = record
+
     def add_continued(
         self, flow: bytes, priority: int, upstream: Upstream, now: float
     ) -> FlowRecord:
@@ -203,11 +224,16 @@
         yield from tuple(self._unanswered.values())
 
     def drop_idle(self, before: float) -> None:
-        """Drop flows whose latest packet came before a point in time."""
+        """Drop flows whose latest packet came before a point in time.
+
+        A flow without an answer is kept for as long as its caller may continue
+        it, since the record shows to which upstreams it was sent.
+        """
         idle = [
             flow
             for flow, record in self._flows.items()
             if record.last_packet_at < before
+            and (record.is_answered or record.opened_at < before - _OPENING_S)
         ]
         for flow in idle:
             self.remove(flow)
--- a/packages/token/src/hibiscushatch_token/traffic/placement.py
+++ b/packages/token/src/hibiscushatch_token/traffic/placement.py
@@ -110,6 +110,21 @@
         weights = [weighted.weight for weighted in services]
         return self._randomness.choices(services, weights)[0].service
 
+    def may_keep(self, upstream: Upstream, route: Route) -> bool:
+        """Return whether an unanswered flow may stay on its upstream.
+
+        Args:
+            upstream: The upstream on which the flow was placed.
+            route: The route of the flow that is in force now.
+        """
+        listed = self._known.registry.find(upstream.name)
+        if listed is None or listed.incarnation != upstream.incarnation:
+            return False
+        is_leaving = (
+            listed.is_draining or listed.domain in self._known.routing.evacuated
+        )
+        return not is_leaving and route.names(listed.service)
+
     def choose(self, service: str, tried: tuple[str, ...]) -> Upstream | None:
         """Choose the upstream of a new flow.
 
