--- a/packages/core/src/hibiscushatch_core/udp_socket.py
+++ b/packages/core/src/hibiscushatch_core/udp_socket.py
@@ -12,7 +12,8 @@
         address: IPv4 address and port.
 
     Returns:
-        The socket, with buffers as large as the system allows.
+        The socket, with buffers as large as the system allows. Where the
+        system can, it states the arrival times of datagrams.
 
     Raises:
         OSError: If the address can't be bound.
--- a/packages/token/src/hibiscushatch_token/daemon.py
+++ b/packages/token/src/hibiscushatch_token/daemon.py
@@ -179,7 +179,7 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._data_plane.forward_waiting()
         asyncio.get_running_loop().add_reader(
-            self._data_plane.udp_socket, self._data_plane.read_waiting
+            self._data_plane.udp_socket, self._data_plane.reader.read_waiting
         )
         self._is_ready = True
         _log.info(
@@ -254,12 +254,7 @@
         last_expiry_at = loop.time()
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
-            if self._is_ready:
-                self._data_plane.record_running()
-            due = [
-                self._replication.replica.expire,
-                self._traffic.opener.drop_idle,
-            ]
+            due = [self._replication.replica.expire, self._drop_idle_flows]
             if loop.time() - last_expiry_at >= _EXPIRY_INTERVAL_S:
                 last_expiry_at = loop.time()
                 due.append(self._traffic.known.registry.expire)
@@ -267,6 +262,12 @@
             for expire in due:
                 self._errors.guard('dropping what has expired', expire)
 
+    def _drop_idle_flows(self) -> None:
+        # After a pause of the process, packets of flows that seem to be idle
+        # may be waiting in the socket.
+        if self._is_ready and self._data_plane.reader.read_waiting():
+            self._traffic.opener.drop_idle()
+
     def _count_fleet(self) -> int:
         return self._replication.fleet_size
 
--- a/packages/token/src/hibiscushatch_token/data_plane.py
+++ b/packages/token/src/hibiscushatch_token/data_plane.py
@@ -12,14 +12,12 @@
 from collections.abc import Callable
 
 from hibiscushatch_core.counters import Counters
-from hibiscushatch_core.datagram_reader import DatagramReader
 from hibiscushatch_core.unexpected_errors import UnexpectedErrors
-from hibiscushatch_token.caller_socket import CallerSocket, estimate_waits
+from hibiscushatch_token.caller_socket import CallerReader, CallerSocket
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.knowledge.replica import StoreReplica
 from hibiscushatch_token.ports import Documents, Listing, PacketCodec
 from hibiscushatch_token.settings import TokenNodeSettings
-from hibiscushatch_token.traffic.freeze_detector import FreezeDetector
 from hibiscushatch_token.traffic.packet_path import PacketPath
 
 _log = logging.getLogger(__name__)
@@ -65,14 +63,15 @@
             self.environment.counters,
         )
         counters = self.environment.counters
-        self.reader = DatagramReader(
-            self.udp_socket, self.traffic.forwarder.handle, counters
+        self.reader = CallerReader(
+            caller_socket,
+            self.traffic.forwarder.handle,
+            self.traffic.backlog.handle,
+            counters,
+            time.monotonic,
         )
         self._errors = UnexpectedErrors(counters)
-        self._emptied_at = caller_socket.bound_at
-        self._freezes = FreezeDetector(
-            settings.backlog.freeze_s, time.monotonic
-        )
+        self._bound_at = caller_socket.bound_at
         self._is_forwarding = False
 
     def count_fleet(self) -> int:
@@ -103,9 +102,8 @@
         """
         if not self.replica.has_config:
             return
-        self._freezes.record_running()
-        waited_max_s = time.monotonic() - self._emptied_at
-        packets = self._handle_backlog(waited_max_s)
+        waited_max_s = time.monotonic() - self._bound_at
+        packets = self.reader.read_backlog()
         if not self._is_forwarding:
             self._is_forwarding = True
             _log.info(
@@ -117,24 +115,6 @@
             )
         self._errors.guard('retrying flows', self.retry_flows)
 
-    def read_waiting(self) -> None:
-        """Handle a batch of packets; after a freeze, all that have waited."""
-        self.record_running()
-        self.reader.read_waiting()
-
-    def record_running(self) -> None:
-        """Record that the process runs, and handle what a freeze has left.
-
-        It has to be called at least ten times a second.
-        """
-        frozen_s = self._freezes.record_running()
-        if frozen_s:
-            packets = self._handle_backlog(frozen_s)
-            _log.warning(
-                'freeze has ended',
-                extra={'frozen_s': round(frozen_s, 3), 'packets': packets},
-            )
-
     def retry_flows(self) -> float | None:
         """Place again what is unanswered, and place what was deferred.
 
@@ -142,7 +122,6 @@
             Seconds until the next call is due; None if packets are waiting,
             among which answers may be.
         """
-        self.record_running()
         # An answer may have arrived since the last packet was handled: all
         # waiting packets are handled before flows count as unanswered.
         if not self.reader.read_waiting():
@@ -151,10 +130,3 @@
         self.traffic.opener.place_late_flows()
         self.traffic.request_watch.record_overdue()
         return pause_s
-
-    def _handle_backlog(self, waited_max_s: float) -> int:
-        """Handle what has waited in the socket; return how much it was."""
-        datagrams = list(self.reader.take_waiting())
-        self._emptied_at = time.monotonic()
-        self.traffic.backlog.handle(estimate_waits(datagrams, waited_max_s))
-        return len(datagrams)
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -236,9 +236,6 @@
         hold_share: Share of its latency target for which a late request on an
             open flow is held back while slots are scarce; 0 for never.
         held_max: Flows that may wait before no more requests are held back.
-        freeze_s: A process that did not run for this long was frozen, and the
-            packets that it finds have waited. The program otherwise runs ten
-            times a second.
     """
 
     is_ordered: bool = True
@@ -246,7 +243,6 @@
     settle_s: _Seconds = 0.3
     hold_share: _HoldShare = 0.25
     held_max: _Count = 2000
-    freeze_s: _Seconds = 0.25
 
 
 class TokenNodeSettings(
--- a/packages/token/src/hibiscushatch_token/traffic/backlog.py
+++ b/packages/token/src/hibiscushatch_token/traffic/backlog.py
@@ -99,7 +99,7 @@
 
 def _rank(flow: Sequence[FlowPacket], routing: Routing) -> _Rank:
     for packet in flow:
-        if packet.is_request:
+        if packet.is_request and not packet.is_superseded:
             route = routing.route_of(packet.endpoint)
             return _WITHOUT_ROUTE if route is None else _rank_of(packet, route)
     return _ASKS_FOR_NOTHING
--- a/packages/tools/src/hibiscushatch_tools/load_fleet.py
+++ b/packages/tools/src/hibiscushatch_tools/load_fleet.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from hibiscushatch_core.counters import Counters
-from hibiscushatch_token.caller_socket import estimate_waits
+from hibiscushatch_token.caller_socket import limit_waits
 from hibiscushatch_token.environment import Environment
 from hibiscushatch_token.knowledge import peer_messages
 from hibiscushatch_token.knowledge.failure_reporter import FailureReporter
@@ -110,9 +110,9 @@
     def thaw(self) -> list[SentPacket]:
         """Handle what has waited; return the packets that are sent."""
         waited_max_s = self._clock() - self._frozen_at
-        waiting = self._waiting or []
+        waiting = [(datagram, None) for datagram in self._waiting or []]
         self._waiting = None
-        self.path.backlog.handle(estimate_waits(waiting, waited_max_s))
+        self.path.backlog.handle(limit_waits(waiting, waited_max_s))
         return self.take_sent()
 
     def handle(self, datagram: bytes) -> list[SentPacket]:
