--- a/packages/tools/src/hibiscushatch_tools/load_player.py
+++ b/packages/tools/src/hibiscushatch_tools/load_player.py
@@ -58,6 +58,19 @@
 
     def play(self) -> list[SimulatedRequest]:
         """Play the load and return its requests."""
+        self._schedule_faults()
+        self.scheduler.call_repeatedly(POLL_INTERVAL_S, self._poll)
+        SimulatedExchange(self.load, self.fleet, self.scheduler).start()
+        for number, heavy in enumerate(self.load.heavy_callers):
+            self.scheduler.call_later(
+                heavy.from_s,
+                functools.partial(self._send_next_heavy, heavy, number),
+            )
+        self._send_next_request()
+        self.scheduler.run(self.load.length_s)
+        return self.requests
+
+    def _schedule_faults(self) -> None:
         for fault in self.load.faults:
             if fault.kind == 'power':
                 self.scheduler.call_later(fault.from_s, self.fleet.stop)
@@ -75,16 +88,6 @@
                 self.scheduler.call_later(
                     fault.from_s, self.fleet.add_cold_upstreams
                 )
-        self.scheduler.call_repeatedly(POLL_INTERVAL_S, self._poll)
-        SimulatedExchange(self.load, self.fleet, self.scheduler).start()
-        for number, heavy in enumerate(self.load.heavy_callers):
-            self.scheduler.call_later(
-                heavy.from_s,
-                functools.partial(self._send_next_heavy, heavy, number),
-            )
-        self._send_next_request()
-        self.scheduler.run(self.load.length_s)
-        return self.requests
 
     def _thaw(self) -> None:
         self._callers.deliver(self.fleet.thaw())
