Import the status code of HTTP from its new module in the entry-vm command

The command of operators imported it from http1, from where it had moved; the import failed and with it all of the command line. load_run_test shows it.

--- a/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
+++ b/packages/ops/src/hibiscushatch_ops/entry_vm_command.py
@@ -9,7 +9,8 @@
 
 from hibiscushatch_core.errors import PeerError
 from hibiscushatch_ops import console, session
-from hibiscushatch_token.http1 import OK, ClientConnection
+from hibiscushatch_token.http1 import ClientConnection
+from hibiscushatch_token.http_messages import OK
 from hibiscushatch_token.settings import socket_address
 from hibiscushatch_token.status import STATUS_PATH, Status, UpstreamStatus
 
