--- a/packages/token/src/hibiscushatch_token/ports.py
+++ b/packages/token/src/hibiscushatch_token/ports.py
@@ -1,6 +1,7 @@
 """Interfaces through which token affinity uses the platform and its fabric."""
 
 import abc
+import math
 from collections.abc import Iterable, Iterator
 
 import msgspec
@@ -23,6 +24,7 @@
     Attributes:
         datagram: The packet as it was received.
         flow: Addresses and ports of both ends, which identify the flow.
+        caller: Address of the caller, in the byte order of the packet.
         endpoint: Address and port to which the caller sent the packet.
         token: The affinity token that it carries; 0 for none.
         is_opening: Whether it asks for a new flow.
@@ -32,10 +34,13 @@
             flow.
         has_payload: Whether it carries payload.
         is_last: Whether the caller ends or resets the flow with it.
+        next_copy_s: Time from the first opening packet of the flow to that at
+            which the caller sends the next copy, or gives up.
     """
 
     datagram: bytes
     flow: bytes
+    caller: bytes
     endpoint: Endpoint
     token: int
     is_opening: bool
@@ -43,6 +48,20 @@
     waited_s: float
     has_payload: bool
     is_last: bool
+    next_copy_s: float = math.inf
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether it has waited until its caller sent the next copy.
+
+        The copy may have come to another entry VM and opened the flow there.
+        """
+        return self.is_opening and self.waited_s >= self.next_copy_s
+
+    @property
+    def is_request(self) -> bool:
+        """Whether it asks for a flow or carries a part of a request."""
+        return self.is_opening or (self.has_payload and not self.is_last)
 
 
 class FlowObserver(abc.ABC):
--- a/packages/token/src/hibiscushatch_token/settings.py
+++ b/packages/token/src/hibiscushatch_token/settings.py
@@ -13,6 +13,7 @@
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 _UpToHundred = Annotated[float, msgspec.Meta(ge=0, le=100)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_HoldShare = Annotated[float, msgspec.Meta(ge=0, le=0.25)]
 _Rate = Annotated[float, msgspec.Meta(gt=0, le=100_000)]
 _Count = Annotated[int, msgspec.Meta(ge=1)]
 _Address = Annotated[
@@ -220,6 +221,30 @@
     rows_max: _Count = 32
 
 
+class BacklogSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """How requests that waited at an interruption are served.
+
+    Attributes:
+        is_ordered: Whether packets that waited are handled by the time that
+            their callers have left rather than in the order they arrived.
+        requests_per_slot: Requests under way per slot of a service from which
+            its slots count as scarce, by the sums over the fleet.
+        settle_s: Sums count from this time after an interruption, when its
+            backlog has reached the upstreams.
+        hold_share: Share of its latency target for which a late request on an
+            open flow is held back while slots are scarce; 0 for never.
+        held_max: Flows that may wait before no more requests are held back.
+    """
+
+    is_ordered: bool = True
+    requests_per_slot: _UpToHundred = 1.0
+    settle_s: _Seconds = 0.3
+    hold_share: _HoldShare = 0.25
+    held_max: _Count = 2000
+
+
 class TokenNodeSettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -241,6 +266,7 @@
         outliers: When an upstream is ejected whose requests fail.
         admission: When new flows of an overloaded service are refused.
         load: How entry VMs tell each other their load.
+        backlog: How requests that waited at an interruption are served.
         stop_grace_s: Time from SIGTERM to SIGKILL.
         rotation_s: Time in which the fabric stops sending packets once the
             readiness check fails: two checks, at two checks a second, and
@@ -267,6 +293,7 @@
     outliers: OutlierSettings = OutlierSettings()
     admission: AdmissionSettings = AdmissionSettings()
     load: LoadSettings = LoadSettings()
+    backlog: BacklogSettings = BacklogSettings()
     stop_grace_s: _Seconds = 6.0
     rotation_s: _Seconds = 1.4
     flow_age_max_s: _Seconds = 60.0
--- a/packages/token/src/hibiscushatch_token/traffic/packet_path.py
+++ b/packages/token/src/hibiscushatch_token/traffic/packet_path.py
@@ -16,10 +16,12 @@
 from hibiscushatch_token.model import Upstream
 from hibiscushatch_token.settings import TokenNodeSettings
 from hibiscushatch_token.traffic.admission import Admission
+from hibiscushatch_token.traffic.backlog import Backlog
 from hibiscushatch_token.traffic.cold_allowance import ColdAllowance
 from hibiscushatch_token.traffic.flow_opener import FlowOpener
 from hibiscushatch_token.traffic.flow_table import FlowTable
 from hibiscushatch_token.traffic.forwarder import Forwarder
+from hibiscushatch_token.traffic.held_requests import HeldRequests
 from hibiscushatch_token.traffic.local_load import LocalLoad
 from hibiscushatch_token.traffic.packet_exit import PacketExit, SendDatagram
 from hibiscushatch_token.traffic.placement import Placement
@@ -46,10 +48,12 @@
         registry = Registry(
             clock, settings.flow_age_max_s, self._forget_upstream
         )
-        self.known = KnownState(Routing(), registry, count_fleet)
+        self.fleet_load = FleetLoad(settings.load.fresh_s, clock, count_fleet)
+        self.known = KnownState(
+            Routing(), registry, count_fleet, self.fleet_load
+        )
         self.flows = FlowTable()
         self.local_load = LocalLoad(settings, clock, self.flows)
-        self.fleet_load = FleetLoad(settings.load.fresh_s, clock, count_fleet)
         self.reachability = Reachability(environment.randomness)
         self.response_times = ResponseTimes(clock)
         self.outliers = OutlierDetector(settings.outliers, self.known, clock)
@@ -103,6 +107,24 @@
             packet_exit,
         )
 
+        self.forwarder.hold_by(
+            HeldRequests(
+                settings.backlog,
+                environment,
+                self.known.routing,
+                self.flows,
+                self.placement,
+                self.opener.late_flows,
+            )
+        )
+        self.backlog = Backlog(
+            settings.backlog,
+            environment,
+            self.known.routing,
+            self.placement,
+            self.forwarder,
+        )
+
     def upstreams(self) -> Iterator[status.UpstreamStatus]:
         """Yield the state of each listed upstream."""
         registry = self.known.registry
--- a/packages/token/tests/token_fixtures.py
+++ b/packages/token/tests/token_fixtures.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 import struct
 import zlib
@@ -58,7 +59,10 @@
 
 
 class FakeCodec(PacketCodec):
-    """Packets of a flow name, a token, flags, a copy and a route index."""
+    """Packets of a flow name, a token, flags, a copy and a route index.
+
+    The first letter of the flow's name stands for the caller's address.
+    """
 
     def parse(self, datagram: bytes) -> FlowPacket | None:
         """Parse a packet."""
@@ -68,6 +72,7 @@
         return FlowPacket(
             datagram,
             flow,
+            flow[:1],
             (ENDPOINT[0], ENDPOINT[1] + route),
             token,
             bool(flags & OPENING),
@@ -75,6 +80,7 @@
             (0, 0.2, 0.6)[copy],
             bool(flags & PAYLOAD),
             bool(flags & LAST),
+            (0.2, 0.6, 1.4)[copy] if flags & OPENING else math.inf,
         )
 
     def describe(self, flow: bytes) -> str:
@@ -311,11 +317,12 @@
         flags: int = 0,
         copy: int = 0,
         route: int = 0,
+        waited_s: float = 0,
     ) -> str:
         """Handle a packet; return where it was sent, empty if nowhere."""
         before = len(self.sent)
         datagram = _PACKET.pack(flow.encode(), token, flags, copy, route)
-        self.forwarder.handle(datagram, 'caller')
+        self.forwarder.handle_waited(datagram, waited_s)
         if len(self.sent) == before:
             return ''
         return self.sent[-1][1][0]
@@ -357,6 +364,17 @@
     return harness
 
 
+def apply_routes(vm: VmHarness, *routes: Route) -> None:
+    """Put a configuration in force whose first route has the usual endpoint."""
+    host, port = ENDPOINT
+    endpoints = ((host, port + index) for index in range(len(routes)))
+    version = vm.routing.config.version + 1
+    vm.routing.apply_config(
+        RoutingConfig(version, dict(zip(endpoints, routes, strict=True)), {}),
+        at(version),
+    )
+
+
 @dataclasses.dataclass
 class ReplicaHarness:
     """A replica with the routes and the registry that it updates."""
