--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -8,7 +8,7 @@
 import uuid
 
 import wire
-from fleet import Fleet
+from fleet import EntryVm, Fleet
 from wire import ACK, FIN, RST, SYN, Packet
 
 _DELAY_S = 0.003
@@ -48,6 +48,7 @@
         self.received = b''
         self.acked = 0
         self.first_in = 0
+        self.through: EntryVm | None = None
         self.event = asyncio.Event()
         self.sent_through: list[tuple[float, str]] = []
         self.log: list[str] = []
@@ -202,10 +203,15 @@
         return flow
 
     async def ask(
-        self, host: str, port: int, within_s: float = 1.2
+        self,
+        host: str,
+        port: int,
+        within_s: float = 1.2,
+        through: EntryVm | None = None,
     ) -> Attempt:
-        """Make one attempt on a flow of its own."""
+        """Make one attempt on a flow of its own, maybe at a given machine."""
         flow = self.flow(host, port)
+        flow.through = through
         attempt = Attempt(
             uuid.uuid4().hex[:16], f'{host}:{port}', time.monotonic()
         )
@@ -223,7 +229,7 @@
 
     def send(self, flow: Flow, packet: Packet) -> None:
         """Hand a packet to the routers."""
-        vm = self._fleet.route(
+        vm = flow.through or self._fleet.route(
             self.zone, (packet.src, packet.sport, packet.dst, packet.dport)
         )
         flow.sent_through.append((time.monotonic(), vm.name))
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -23,7 +23,8 @@
         self._items: dict[str, dict] = {}
         # Each change with the time at which it was made.
         self._history: list[tuple[float, dict]] = []
-        self._first_kept = 1
+        # Revision of the latest change that was dropped; 0 for none.
+        self._dropped = 0
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
 
@@ -57,8 +58,7 @@
             self._items[key] = item
         now = time.monotonic()
         self._history.append((now, item))
-        while self._history and self._history[0][0] < now - HISTORY_S:
-            self._first_kept = self._history.pop(0)[1]['rev']
+        self._drop_history()
         async with self._changed:
             self._changed.notify_all()
         return now
@@ -129,15 +129,21 @@
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
                     lambda: self._events(after, prefix)
-                    or after < self._first_kept - 1
+                    or after < self._dropped
                 )
         except TimeoutError:
             pass
-        if self._first_kept > 1 and after < self._first_kept:
+        self._drop_history()
+        if after < self._dropped:
             return 410, {}
         events = self._events(after, prefix)
         return 200, {'events': events, 'as_of': max(after, self.revision)}
 
+    def _drop_history(self) -> None:
+        oldest = time.monotonic() - HISTORY_S
+        while self._history and self._history[0][0] < oldest:
+            self._dropped = self._history.pop(0)[1]['rev']
+
     def _events(self, after: int, prefix: str) -> list[dict]:
         return [
             item
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import secrets
+import signal
 import sys
 import time
 
@@ -202,6 +203,9 @@
 async def _play(case, folder: pathlib.Path) -> int:
     result = CANNOT_RUN
     world = None
+    playing = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
     try:
         world = World(**getattr(case, 'sizes', {}))
         async with asyncio.timeout(110):
@@ -211,7 +215,7 @@
             world.note(f'BROKEN: {line}')
         if not broken:
             world.note('the rule held')
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         if world is not None:
             world.note(f'the case could not run: {error!r}')
         print(f'the case could not run: {error!r}', file=sys.stderr)
